--- /dev/null
+++ b/lhflow/engine.go
@@ -0,0 +1,298 @@
+package lhflow
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Placer chooses the backend servers of new flows and knows which servers there
+// are. Its methods are called from several threads and return without waiting.
+type Placer interface {
+	// Place admits a new flow and chooses its server, which is not one of tried.
+	Place(now time.Duration, id ID, key Key, tried uint32) Placement
+	// Holds reports whether the server with this number is still declared for
+	// the service of key.
+	Holds(server uint32, key Key) bool
+	// Declared reports whether a server with this number is still declared.
+	Declared(server uint32) bool
+	// Accepts reports whether the server takes new flows.
+	Accepts(server uint32) bool
+	// Retry takes one from the retry budget; false when there is none left.
+	Retry(now time.Duration) bool
+	// Opened says that this VM counts a flow from now on.
+	Opened(now time.Duration, server uint32, work uint16)
+	// Answered says that server answered a SYN after the given time.
+	Answered(now time.Duration, server uint32, after time.Duration)
+	// Refused says that server answered a SYN with a reset.
+	Refused(now time.Duration, server uint32)
+	// Silent says that server did not answer a SYN.
+	Silent(now time.Duration, server uint32)
+	// Closed says that this VM counts the flow no more.
+	Closed(now time.Duration, server uint32, work uint16)
+}
+
+// Placement is the outcome of placing a new flow. Server is 0 when the flow is
+// refused for Reason.
+type Placement struct {
+	Server uint32
+	Work   uint16
+	Reason Reason
+}
+
+// Limits are the bounds and times that an Engine works within. A zero field
+// stands for its default.
+type Limits struct {
+	// Flows is how many records the table holds at most.
+	Flows int
+	// Lease is how long a VM uses a record that an owner has returned to it.
+	Lease time.Duration
+	// Teach is how many relayed packets of a flow an owner sends on itself
+	// before it returns the record to the VM that relayed the packet.
+	Teach int
+	// Retry is how long a server may leave a SYN unanswered before a repeated
+	// SYN may go to another server.
+	Retry time.Duration
+	// IdleTCP and IdleUDP are how long a flow without packets is kept.
+	IdleTCP time.Duration
+	IdleUDP time.Duration
+	// Grace is how long after the loss of a member packets of unknown flows are
+	// dropped, for the caller to repeat, before they are reset.
+	Grace time.Duration
+}
+
+// The defaults of Limits.
+const (
+	defaultFlows   = 500_000
+	defaultLease   = 2 * time.Second
+	defaultTeach   = 8
+	defaultRetry   = 800 * time.Millisecond
+	defaultIdleTCP = 24 * time.Hour
+	defaultIdleUDP = 5 * time.Minute
+	defaultGrace   = 60 * time.Second
+)
+
+const (
+	// halfOpenLife is how long a flow whose server never answered is kept.
+	halfOpenLife = 30 * time.Second
+	// closingLife is how long a flow is kept that one end has closed.
+	closingLife = 10 * time.Minute
+	// closedLife is how long the record of an ended flow is kept for late packets.
+	closedLife = 60 * time.Second
+	// learnedLife is how long a record is kept after its lease for others to find.
+	learnedLife = 60 * time.Second
+	// settle is how long views may differ after a change of membership.
+	settle = 5 * time.Second
+	// lateLife is how long answers to a port's earlier flow may still arrive.
+	lateLife = 20 * time.Second
+	// lateWindow is how far before a flow's first sequence number the
+	// acknowledgements of the port's earlier flow are looked for, in bytes.
+	lateWindow = 1 << 30
+	// refresh is the age at which the second owner's copy is renewed.
+	refresh = time.Hour
+	// maxHops is how many members may pass one packet on.
+	maxHops = 8
+	// maxAttempts is how many servers a SYN is sent to.
+	maxAttempts = 2
+)
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.Flows, defaultFlows)
+	setDefault(&l.Lease, defaultLease)
+	setDefault(&l.Teach, defaultTeach)
+	setDefault(&l.Retry, defaultRetry)
+	setDefault(&l.IdleTCP, defaultIdleTCP)
+	setDefault(&l.IdleUDP, defaultIdleUDP)
+	setDefault(&l.Grace, defaultGrace)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Engine decides over the packets that one VM sees. Its methods may be called
+// from several threads.
+type Engine struct {
+	placer Placer
+	limits Limits
+	table  table
+	// size is the number of records in the table.
+	size    atomic.Int64
+	view    atomic.Pointer[View]
+	refused refusals
+	// changed and lost are the ticks of the last change of view and of the last
+	// loss of a member that had not left; 0 for never.
+	changed atomic.Uint32
+	lost    atomic.Uint32
+	// sweep serializes changes of view.
+	sweep   sync.Mutex
+	pending pending
+}
+
+// NewEngine returns an Engine of a VM that is alone until SetView is called.
+func NewEngine(self MemberID, p Placer, l Limits) *Engine {
+	e := &Engine{placer: p, limits: l.withDefaults()}
+	alone := []Member{{ID: self, State: Active}}
+	e.view.Store(NewView(0, self, alone))
+	return e
+}
+
+// View returns the view in use.
+func (e *Engine) View() *View { return e.view.Load() }
+
+// Len returns the number of records that the VM holds.
+func (e *Engine) Len() int { return int(e.size.Load()) }
+
+// Handle decides what happens to one packet.
+func (e *Engine) Handle(ev Event) Verdict {
+	switch ev.Relay.Kind {
+	case RelayCopy:
+		return e.copy(&ev)
+	case RelayTeach:
+		return e.learn(&ev)
+	case RelayFind:
+		return e.find(&ev)
+	}
+	return e.route(&ev)
+}
+
+// route decides over a packet from outside the group or asked about by a peer.
+func (e *Engine) route(ev *Event) Verdict {
+	s := e.table.shard(ev.ID)
+	now := ticks(ev.Now)
+	s.mu.Lock()
+	en, known := s.entries[ev.ID]
+	if known && en.valid(now) && !needsOwner(ev, &en) && !en.stale(now) {
+		return e.known(ev, s, en)
+	}
+	s.mu.Unlock()
+	view := e.view.Load()
+	owners := view.Owners(ev.ID)
+	if owners.First == view.Self || owners.First == 0 {
+		return e.decide(ev, view, owners)
+	}
+	return e.ask(ev, view, owners.First)
+}
+
+// needsOwner reports whether only the flow's first owner may decide: on packets
+// that open or end it. The answer to a SYN passes the first owner before the
+// caller sees it, so no data can flow that the first owner does not expect.
+func needsOwner(ev *Event, en *entry) bool {
+	if ev.Flags&(SYN|FIN|RST) != 0 {
+		return true
+	}
+	return en.state < Open
+}
+
+// known sends a packet of a flow whose valid record this VM has. The shard's lock
+// is held and released here.
+func (e *Engine) known(ev *Event, s *shard, en entry) Verdict {
+	now := ticks(ev.Now)
+	if ev.Source == FromServer && isLate(ev, &en, now) {
+		s.mu.Unlock()
+		return Verdict{Reason: ReasonLateAnswer}
+	}
+	en.seen = now
+	taught := false
+	if ev.Relay.Kind == RelayAsk && en.has(owned) {
+		taught = e.countRelayed(&en, ev)
+	}
+	s.entries[ev.ID] = en
+	s.mu.Unlock()
+	if taught {
+		return teach(ev, &en)
+	}
+	return e.send(ev, &en)
+}
+
+// countRelayed counts a relayed packet and reports whether the record is to be
+// returned to the member that relayed it; a lease is then granted.
+func (e *Engine) countRelayed(en *entry, ev *Event) bool {
+	if en.relayed < 255 {
+		en.relayed++
+	}
+	if int(en.relayed) <= e.limits.Teach || en.state != Open || ev.Relay.Hops != 1 {
+		return false
+	}
+	en.lease = ticks(ev.Now + e.limits.Lease)
+	return true
+}
+
+// send sends a packet to the other end of its flow.
+func (e *Engine) send(ev *Event, en *entry) Verdict {
+	if ev.Source == FromServer {
+		return Verdict{Action: ToCaller}
+	}
+	if !e.placer.Holds(en.server, ev.Key) {
+		return Verdict{Action: Reset, Reason: ReasonServerGone}
+	}
+	return Verdict{Action: ToServer, Server: en.server}
+}
+
+// ask passes the packet on to the flow's first owner.
+func (e *Engine) ask(ev *Event, view *View, first MemberID) Verdict {
+	relay := request(ev, view, RelayAsk)
+	if ev.Relay.Kind == RelayAsk {
+		relay.Origin = ev.Relay.Origin
+		relay.Stamp = ev.Relay.Stamp
+		relay.Hops = ev.Relay.Hops + 1
+	}
+	if relay.Hops > maxHops {
+		return Verdict{Reason: ReasonHops}
+	}
+	return Verdict{Action: ToPeer, Peer: first, Relay: relay}
+}
+
+// request returns the Relay of a packet whose record this VM lacks.
+func request(ev *Event, view *View, k RelayKind) Relay {
+	return Relay{
+		Kind:   k,
+		Hops:   1,
+		Origin: view.Self,
+		Stamp:  uint32(ticks(ev.Now)),
+		Source: ev.Source,
+		Server: ev.Server,
+	}
+}
+
+// teach returns the packet and the record to the member that asked.
+func teach(ev *Event, en *entry) Verdict {
+	relay := carry(ev, en)
+	relay.Kind = RelayTeach
+	relay.Origin = ev.Relay.Origin
+	relay.Stamp = ev.Relay.Stamp
+	relay.Hops = ev.Relay.Hops + 1
+	return Verdict{Action: ToPeer, Peer: ev.Relay.Origin, Relay: relay}
+}
+
+// carry returns a Relay that brings the record along with the packet.
+func carry(ev *Event, en *entry) Relay {
+	return Relay{
+		Source:  ev.Source,
+		Server:  en.server,
+		ISN:     en.isn,
+		State:   en.state,
+		Work:    en.work,
+		Attempt: en.attempt,
+	}
+}
+
+// isLate reports whether an answer belongs to an earlier flow of the same port:
+// it comes from another server, or acknowledges what the caller sent before this
+// flow's SYN.
+func isLate(ev *Event, en *entry, now tick) bool {
+	if ev.Server != en.server {
+		return true
+	}
+	if !en.has(owned) || en.has(datagram) || !ev.Flags.Has(ACK) {
+		return false
+	}
+	if now.since(en.opened) > int32(lateLife/time.Millisecond) {
+		return false
+	}
+	return en.isn-ev.Ack < lateWindow
+}
--- a/lhflow/event.go
+++ b/lhflow/event.go
@@ -80,7 +80,10 @@
 	// Stamp is the origin's clock in milliseconds when it passed the packet on;
 	// a lease on a returned record counts from it.
 	Stamp uint32
-	// Server is the number of the record's backend server; 0 for none.
+	// Source is the end of the flow that sent the packet.
+	Source Source
+	// Server is the number of the record's backend server; with RelayAsk and
+	// RelayFind, of the server that sent the packet. 0 for none.
 	Server uint32
 	// ISN is the initial sequence number of the caller's SYN.
 	ISN uint32
--- /dev/null
+++ b/lhflow/handover.go
@@ -0,0 +1,253 @@
+package lhflow
+
+import (
+	"sync"
+	"time"
+)
+
+// pending lists the records that other members are still to be sent.
+type pending struct {
+	mu sync.Mutex
+	// flows holds the flows by the member that lacks them; nil until the first.
+	flows map[MemberID][]ID
+}
+
+func (p *pending) add(m MemberID, id ID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.flows == nil {
+		p.flows = make(map[MemberID][]ID)
+	}
+	p.flows[m] = append(p.flows[m], id)
+}
+
+// SetView puts a view of the membership in force. Records that members lack under
+// it are listed for hand-over, and flows that this VM owns first are counted
+// against its part of the limits.
+func (e *Engine) SetView(now time.Duration, v *View) {
+	e.sweep.Lock()
+	defer e.sweep.Unlock()
+	old := e.view.Load()
+	if lostMember(old, v) {
+		e.lost.Store(uint32(ticks(now)) | 1)
+	}
+	e.changed.Store(uint32(ticks(now)) | 1)
+	e.view.Store(v)
+	e.dropPending(v)
+	for i := range e.table.shards {
+		e.sweepShard(now, &e.table.shards[i], old, v)
+	}
+}
+
+// lostMember reports whether an owner of the old view is missing from the new
+// one without having left.
+func lostMember(old, v *View) bool {
+	for _, m := range old.Members {
+		if m.State != Active || m.ID == v.Self {
+			continue
+		}
+		if _, ok := v.Member(m.ID); !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// dropPending forgets hand-over to members that are in the view no more.
+func (e *Engine) dropPending(v *View) {
+	e.pending.mu.Lock()
+	defer e.pending.mu.Unlock()
+	for m := range e.pending.flows {
+		if _, ok := v.Member(m); !ok {
+			delete(e.pending.flows, m)
+		}
+	}
+}
+
+func (e *Engine) sweepShard(now time.Duration, s *shard, old, v *View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, en := range s.entries {
+		e.list(id, &en, old, v)
+		e.account(now, id, &en, v)
+		s.entries[id] = en
+	}
+}
+
+// list lists a record for the members that lack it. The first member of the old
+// holders that is still there sends it; where none is, all that have learned it do.
+func (e *Engine) list(id ID, en *entry, old, v *View) {
+	if en.state < Opening || en.state == Closed {
+		return
+	}
+	before := holders(old, id)
+	sender := firstLeft(before, v)
+	if sender != 0 && sender != v.Self {
+		return
+	}
+	for _, m := range holders(v, id) {
+		if m == 0 || m == v.Self || sender != 0 && contains(before, m) {
+			continue
+		}
+		e.pending.add(m, id)
+	}
+}
+
+// account marks the record as owned or learned under the new view, and counts
+// its flow if this VM is the first owner.
+func (e *Engine) account(now time.Duration, id ID, en *entry, v *View) {
+	owners := v.Owners(id)
+	mine := owners.First == v.Self
+	if en.copied != short(owners.Second) {
+		en.copied = 0
+	}
+	if mine && !en.has(counted) && en.state >= Opening && en.state < Closed {
+		en.marks |= counted
+		e.placer.Opened(now, en.server, en.work)
+	}
+	if !mine && en.has(counted) {
+		en.marks &^= counted
+		e.placer.Closed(now, en.server, en.work)
+	}
+	if contains(holders(v, id), v.Self) {
+		if mine || owners.Second == v.Self {
+			en.marks |= owned
+		}
+		return
+	}
+	if en.has(owned) {
+		en.marks &^= owned
+		en.lease = ticks(now + e.limits.Lease)
+	}
+}
+
+func firstLeft(list [4]MemberID, v *View) MemberID {
+	for _, m := range list {
+		if m == 0 {
+			continue
+		}
+		if _, ok := v.Member(m); ok {
+			return m
+		}
+	}
+	return 0
+}
+
+func contains(list [4]MemberID, m MemberID) bool {
+	for _, x := range list {
+		if x == m {
+			return true
+		}
+	}
+	return false
+}
+
+// Pending returns how many records are still to be sent to a member.
+func (e *Engine) Pending(m MemberID) int {
+	e.pending.mu.Lock()
+	defer e.pending.mu.Unlock()
+	return len(e.pending.flows[m])
+}
+
+// Take removes up to n records from those to be sent to member m and returns
+// them as they are now. A caller that fails to send them gives them to Return.
+func (e *Engine) Take(m MemberID, n int) []Record {
+	ids := e.takeIDs(m, n)
+	batch := make([]Record, 0, len(ids))
+	for _, id := range ids {
+		s := e.table.shard(id)
+		s.mu.Lock()
+		en, ok := s.entries[id]
+		s.mu.Unlock()
+		if ok && en.state < Closed {
+			batch = append(batch, en.record(id))
+		}
+	}
+	return batch
+}
+
+func (e *Engine) takeIDs(m MemberID, n int) []ID {
+	e.pending.mu.Lock()
+	defer e.pending.mu.Unlock()
+	list := e.pending.flows[m]
+	n = min(n, len(list))
+	ids := list[:n:n]
+	e.pending.flows[m] = list[n:]
+	if n == len(list) {
+		delete(e.pending.flows, m)
+	}
+	return ids
+}
+
+// Return lists records again that could not be sent to member m.
+func (e *Engine) Return(m MemberID, batch []Record) {
+	for _, r := range batch {
+		e.pending.add(m, r.ID)
+	}
+}
+
+// Receive keeps records that another member hands over. What this VM knows of a
+// flow already stands.
+func (e *Engine) Receive(now time.Duration, batch []Record) {
+	view := e.view.Load()
+	for _, r := range batch {
+		e.receive(now, view, r)
+	}
+}
+
+func (e *Engine) receive(now time.Duration, view *View, r Record) {
+	s := e.table.shard(r.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mine, known := s.entries[r.ID]
+	if known && mine.has(owned) {
+		return
+	}
+	en := received(ticks(now), r)
+	if r.ISN == 0 {
+		en.marks |= datagram
+	}
+	e.account(now, r.ID, &en, view)
+	e.storeLocked(s, r.ID, en)
+}
+
+// Expire removes the records of one part of the table whose time is over; part
+// counts through the calls, each of which looks at one sixty-fourth.
+func (e *Engine) Expire(now time.Duration, part int) {
+	s := &e.table.shards[part%shardCount]
+	t := ticks(now)
+	var ended []entry
+	s.mu.Lock()
+	for id, en := range s.entries {
+		idle := int64(t.since(en.seen))
+		if idle <= e.life(&en).Milliseconds() && e.placer.Declared(en.server) {
+			continue
+		}
+		delete(s.entries, id)
+		e.size.Add(-1)
+		if en.has(counted) {
+			ended = append(ended, en)
+		}
+	}
+	s.mu.Unlock()
+	for _, en := range ended {
+		e.placer.Closed(now, en.server, en.work)
+	}
+}
+
+// life returns how long the record is kept without a packet.
+func (e *Engine) life(en *entry) time.Duration {
+	switch {
+	case !en.has(owned):
+		return e.limits.Lease + learnedLife
+	case en.has(datagram):
+		return e.limits.IdleUDP
+	case en.state == Opening:
+		return halfOpenLife
+	case en.state == Closing:
+		return closingLife
+	case en.state == Closed:
+		return closedLife
+	}
+	return e.limits.IdleTCP
+}
--- /dev/null
+++ b/lhflow/owner.go
@@ -0,0 +1,291 @@
+package lhflow
+
+import "time"
+
+// decide decides as the first owner of the flow.
+func (e *Engine) decide(ev *Event, view *View, owners Owners) Verdict {
+	s := e.table.shard(ev.ID)
+	s.mu.Lock()
+	en, known := s.entries[ev.ID]
+	if !known || !en.valid(ticks(ev.Now)) {
+		s.mu.Unlock()
+		return e.decideUnknown(ev, view)
+	}
+	if ev.Source == FromServer && isLate(ev, &en, ticks(ev.Now)) {
+		s.mu.Unlock()
+		return Verdict{Reason: ReasonLateAnswer}
+	}
+	if opens(ev) && !en.has(datagram) {
+		s.mu.Unlock()
+		return e.reopen(ev, view, en)
+	}
+	en.marks |= owned
+	before := en
+	e.advance(ev, &en)
+	taught := ev.Relay.Kind == RelayAsk && ev.Flags&(SYN|FIN|RST) == 0 && e.countRelayed(&en, ev)
+	renew := needsCopy(ev, &before, &en, owners)
+	if renew {
+		en.renewed = ticks(ev.Now)
+	}
+	en.seen = ticks(ev.Now)
+	s.put(ev.ID, en)
+	s.mu.Unlock()
+	e.report(ev, &before, &en)
+	if renew {
+		return e.pass(ev, view, &en)
+	}
+	if taught {
+		return teach(ev, &en)
+	}
+	return e.send(ev, &en)
+}
+
+// opens reports whether the packet is a caller's SYN.
+func opens(ev *Event) bool {
+	return ev.Source == FromCaller && ev.Flags&(SYN|ACK) == SYN
+}
+
+// advance moves the state of a record on by what the packet says.
+func (e *Engine) advance(ev *Event, en *entry) {
+	switch {
+	case ev.Flags.Has(RST):
+		en.state = Closed
+	case ev.Flags.Has(FIN):
+		en.marks |= finMark(ev.Source)
+		en.state = max(en.state, Closing)
+		if en.has(callerFIN) && en.has(serverFIN) {
+			en.state = Closed
+		}
+	case en.state == Opening && ev.Source == FromServer:
+		en.state = Open
+	}
+	if en.state == Closed {
+		en.marks &^= counted
+	}
+}
+
+// report tells the placer what a packet has changed of a flow.
+func (e *Engine) report(ev *Event, before, after *entry) {
+	if before.state == Opening && ev.Source == FromServer {
+		if ev.Flags.Has(RST) {
+			e.placer.Refused(ev.Now, after.server)
+		} else {
+			took := ticks(ev.Now).since(after.opened)
+			e.placer.Answered(ev.Now, after.server, time.Duration(took)*time.Millisecond)
+		}
+	}
+	if before.has(counted) && !after.has(counted) {
+		e.placer.Closed(ev.Now, after.server, after.work)
+	}
+}
+
+func finMark(s Source) mark {
+	if s == FromCaller {
+		return callerFIN
+	}
+	return serverFIN
+}
+
+// needsCopy reports whether the packet is to pass the second owner: it opens or
+// ends the flow, the second owner is another one than last time, or its copy is old.
+func needsCopy(ev *Event, before, after *entry, owners Owners) bool {
+	if owners.Second == 0 {
+		return false
+	}
+	if after.copied != short(owners.Second) || before.state != after.state {
+		return true
+	}
+	if ev.Flags&(FIN|RST) != 0 || after.state == Opening {
+		return true
+	}
+	return after.stale(ticks(ev.Now))
+}
+
+// decideUnknown decides over a packet of a flow of which the first owner has no
+// valid record. A datagram may belong to a flow whose owners were lost, so soon
+// after a loss the other members are asked before it counts as a new flow.
+func (e *Engine) decideUnknown(ev *Event, view *View) Verdict {
+	if opens(ev) {
+		return e.place(ev, view, entry{})
+	}
+	if ev.Source == FromCaller && ev.Key.Proto == UDP && !e.lostWithin(ev.Now, e.limits.IdleUDP) {
+		return e.place(ev, view, entry{})
+	}
+	return e.seek(ev, view)
+}
+
+// lostWithin reports whether a member was lost in the time d before now.
+func (e *Engine) lostWithin(now, d time.Duration) bool {
+	lost := tick(e.lost.Load())
+	return lost != 0 && int64(ticks(now).since(lost)) < d.Milliseconds()
+}
+
+// reopen decides over a SYN of a flow that has a record: repeated, or of a new
+// flow from the same port.
+func (e *Engine) reopen(ev *Event, view *View, en entry) Verdict {
+	if en.isn == ev.Seq {
+		return e.repeat(ev, view, en)
+	}
+	if e.placer.Accepts(en.server) && e.placer.Holds(en.server, ev.Key) {
+		return e.place(ev, view, en)
+	}
+	if e.leased(ev.Now, &en) {
+		return Verdict{Reason: ReasonReuse}
+	}
+	e.forget(ev.Now, ev.ID, en)
+	return e.place(ev, view, entry{})
+}
+
+// leased reports whether another VM may still use the record: by a lease that
+// this VM granted, or by one that an earlier owner may have granted.
+func (e *Engine) leased(now time.Duration, en *entry) bool {
+	t := ticks(now)
+	if en.lease != 0 && en.lease.since(t) >= 0 {
+		return true
+	}
+	changed := tick(e.changed.Load())
+	hold := int32((e.limits.Lease + settle) / time.Millisecond)
+	return changed != 0 && t.since(changed) < hold
+}
+
+// repeat decides over a repeated SYN. While no server has answered it may go to
+// another server, once, within the retry budget.
+func (e *Engine) repeat(ev *Event, view *View, en entry) Verdict {
+	waited := ticks(ev.Now).since(en.opened)
+	due := waited >= int32(e.limits.Retry/time.Millisecond)
+	if en.state != Opening || !due || en.attempt >= maxAttempts || !e.placer.Retry(ev.Now) {
+		return e.pass(ev, view, &en)
+	}
+	e.placer.Silent(ev.Now, en.server)
+	p := e.placer.Place(ev.Now, ev.ID, ev.Key, en.server)
+	if p.Server == 0 || p.Server == en.server {
+		return e.pass(ev, view, &en)
+	}
+	abandoned := en.server
+	e.placer.Closed(ev.Now, en.server, en.work)
+	e.placer.Opened(ev.Now, p.Server, p.Work)
+	en.server = p.Server
+	en.work = p.Work
+	en.opened = ticks(ev.Now)
+	en.attempt++
+	e.store(ev.ID, en)
+	verdict := e.pass(ev, view, &en)
+	verdict.Abandon = abandoned
+	return verdict
+}
+
+// place places a new flow. last is the record of the port's last flow, whose
+// server is used again; its zero value leaves the choice to the placer.
+func (e *Engine) place(ev *Event, view *View, last entry) Verdict {
+	if e.refused.has(ev.Now, ev.ID, ev.Seq) {
+		return Verdict{Action: Refuse, Reason: ReasonRefused}
+	}
+	if e.Len() >= e.limits.Flows {
+		return Verdict{Reason: ReasonFull}
+	}
+	if last.server != 0 {
+		e.forget(ev.Now, ev.ID, last)
+	}
+	p := e.placer.Place(ev.Now, ev.ID, ev.Key, 0)
+	if p.Server == 0 {
+		return e.refuse(ev, view, p.Reason)
+	}
+	if last.server != 0 {
+		p.Server = last.server
+	}
+	e.placer.Opened(ev.Now, p.Server, p.Work)
+	en := newEntry(ev, p)
+	e.store(ev.ID, en)
+	return e.pass(ev, view, &en)
+}
+
+// newEntry returns the first owner's record of a new flow.
+func newEntry(ev *Event, p Placement) entry {
+	now := ticks(ev.Now)
+	en := entry{
+		server:  p.Server,
+		isn:     ev.Seq,
+		seen:    now,
+		opened:  now,
+		renewed: now,
+		work:    p.Work,
+		state:   Opening,
+		marks:   owned | counted,
+		attempt: 1,
+	}
+	if ev.Key.Proto == UDP {
+		en.state = Open
+		en.isn = 0
+		en.marks |= datagram
+	}
+	return en
+}
+
+// refuse refuses a new flow at both owners.
+func (e *Engine) refuse(ev *Event, view *View, r Reason) Verdict {
+	if r == ReasonNoService {
+		return Verdict{Reason: r}
+	}
+	e.refused.add(ev.Now, ev.ID, ev.Seq)
+	next := e.next(view, ev.ID)
+	if next == 0 {
+		return Verdict{Action: Refuse, Reason: r}
+	}
+	relay := request(ev, view, RelayCopy)
+	relay.State = Refused
+	relay.ISN = ev.Seq
+	return Verdict{Action: ToPeer, Peer: next, Relay: relay, Reason: r}
+}
+
+// pass sends a packet by way of the members that are to have a copy of its record.
+func (e *Engine) pass(ev *Event, view *View, en *entry) Verdict {
+	next := e.next(view, ev.ID)
+	if next == 0 {
+		return e.send(ev, en)
+	}
+	e.setCopied(ev.ID, short(next))
+	relay := carry(ev, en)
+	relay.Kind = RelayCopy
+	relay.Origin = view.Self
+	relay.Hops = 1
+	return Verdict{Action: ToPeer, Peer: next, Relay: relay}
+}
+
+func (e *Engine) setCopied(id ID, copied uint16) {
+	s := e.table.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	en, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	en.copied = copied
+	s.entries[id] = en
+}
+
+// store puts a record into the table.
+func (e *Engine) store(id ID, en entry) {
+	s := e.table.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.storeLocked(s, id, en)
+}
+
+func (e *Engine) storeLocked(s *shard, id ID, en entry) {
+	before := len(s.entries)
+	s.put(id, en)
+	e.size.Add(int64(len(s.entries) - before))
+}
+
+// forget removes a record and counts its flow no more.
+func (e *Engine) forget(now time.Duration, id ID, en entry) {
+	s := e.table.shard(id)
+	s.mu.Lock()
+	before := len(s.entries)
+	delete(s.entries, id)
+	e.size.Add(int64(len(s.entries) - before))
+	s.mu.Unlock()
+	if en.has(counted) {
+		e.placer.Closed(now, en.server, en.work)
+	}
+}
