--- /dev/null
+++ b/lhconf/problem.go
@@ -0,0 +1,65 @@
+package lhconf
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+)
+
+// Origin is the line of a file that a value was written on.
+type Origin struct {
+	File string `json:"file"`
+	// Line counts from 1; it is 0 where a fault belongs to the file as a whole.
+	Line int `json:"line"`
+}
+
+// String returns the origin as editors read it, file:line.
+func (o Origin) String() string {
+	if o.Line == 0 {
+		return o.File
+	}
+	return fmt.Sprintf("%s:%d", o.File, o.Line)
+}
+
+// Problem is one fault in what an operator has written.
+type Problem struct {
+	Origin Origin      `json:"origin"`
+	Code   lhcode.Code `json:"code"`
+	// Key names the section and the key, such as limits.flows.
+	Key string `json:"key"`
+	// Value is the text that was found; empty where there is none.
+	Value string `json:"value,omitempty"`
+	// Allowed says what could have been written instead.
+	Allowed string `json:"allowed"`
+}
+
+// String returns the problem in one line, as the check command prints it.
+func (p Problem) String() string {
+	found := ""
+	if p.Value != "" {
+		found = fmt.Sprintf(" = %q", p.Value)
+	}
+	return fmt.Sprintf("%s: [%d] %s%s: %s", p.Origin, p.Code, p.Key, found, p.Allowed)
+}
+
+// Problems is every fault found in one reading. As an error it carries the code
+// of the first one.
+type Problems []Problem
+
+// Error returns all problems, one a line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns an error with the code of the first problem, or nil where there is none.
+func (ps Problems) Err() error {
+	if len(ps) == 0 {
+		return nil
+	}
+	return lhcode.Wrap(ps[0].Code, ps, fmt.Sprintf("%d problems found", len(ps)))
+}
