--- a/lhflow/event.go
+++ b/lhflow/event.go
@@ -43,6 +43,8 @@
 	Ack   uint32
 	// Data is the length of the payload in bytes.
 	Data int
+	// Quoted is set for an ICMP error about a packet of the flow.
+	Quoted bool
 	// Peer is the member that passed the packet on; 0 when none did.
 	Peer MemberID
 	// Relay is what that member said about the packet; its zero value when none did.
--- a/lhflow/owner.go
+++ b/lhflow/owner.go
@@ -56,7 +56,7 @@
 		if en.has(callerFIN) && en.has(serverFIN) {
 			en.state = Closed
 		}
-	case en.state == Opening && ev.Source == FromServer:
+	case en.state == Opening && ev.Source == FromServer && !ev.Quoted:
 		en.state = Open
 	}
 	if en.state == Closed {
@@ -66,7 +66,7 @@
 
 // report tells the placer what a packet has changed of a flow.
 func (e *Engine) report(ev *Event, before, after *entry) {
-	if before.state == Opening && ev.Source == FromServer {
+	if before.state == Opening && ev.Source == FromServer && !ev.Quoted {
 		if ev.Flags.Has(RST) {
 			e.placer.Refused(ev.Now, after.server)
 		} else {
@@ -105,6 +105,9 @@
 // valid record. A datagram may belong to a flow whose owners were lost, so soon
 // after a loss the other members are asked before it counts as a new flow.
 func (e *Engine) decideUnknown(ev *Event, view *View) Verdict {
+	if ev.Quoted {
+		return Verdict{Reason: ReasonUnknownFlow}
+	}
 	if opens(ev) {
 		return e.place(ev, view, entry{})
 	}
--- a/lhwire/geneve.go
+++ b/lhwire/geneve.go
@@ -70,7 +70,7 @@
 	dst = binary.BigEndian.AppendUint32(dst, r.ISN)
 	dst = binary.BigEndian.AppendUint16(dst, r.Work)
 	dst = append(dst, byte(r.Kind), r.Hops, r.Attempt, byte(r.State))
-	return append(dst, 0, 0)
+	return append(dst, byte(r.Source), 0)
 }
 
 // readOptions walks the Geneve options and takes over the relay option. Unknown
@@ -118,8 +118,10 @@
 		Hops:    body[31],
 		Attempt: body[32],
 		State:   lhflow.State(body[33]),
+		Source:  lhflow.Source(body[34]),
 	}
-	if p.sender == 0 || p.relay.Kind > lhflow.RelayFind || p.relay.State > lhflow.Closed {
+	if p.sender == 0 || p.relay.Kind > lhflow.RelayFind || p.relay.State > lhflow.Closed ||
+		p.relay.Source > lhflow.FromServer {
 		return FaultOption
 	}
 	return FaultNone
