--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -48,6 +48,8 @@
 	LeaseLost Code = 205
 	// NotFound is a key, server or revision that does not exist.
 	NotFound Code = 206
+	// PreconditionFailed is a conditional write to a key that had changed meanwhile.
+	PreconditionFailed Code = 207
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
--- /dev/null
+++ b/lhstore/doc.go
@@ -0,0 +1,32 @@
+// Package lhstore keeps the fleet's configuration in the platform's key-value
+// service and brings each accepted revision to every VM.
+//
+// # What is stored
+//
+// The files that operators wrote are parted over a fixed number of pages by a
+// hash of their names. A page is a compressed value under the hash of its
+// contents, so a change of one file replaces one page and leaves the others as
+// they are. A manifest, one for each revision, names the pages and says what the
+// revision changed. Pages and manifests never change once they are referred to.
+// One key, the head, names the manifest in force, and only a compare-and-swap of
+// the head accepts a configuration:
+//
+//	head            {revision 8, manifest "8-5f0c", turn 31}
+//	manifest/8-5f0c {previous "7-a2d1", pages [...], files changed, numbers given}
+//	page/Zk3v...    the files of one page, with the numbers of their servers
+//
+// The head also has a turn that grows with every swap. Whoever is unsure whether
+// an earlier swap may still take effect swaps the head for itself with the next
+// turn: the earlier one then can't. That is how a write whose reply was lost is
+// told apart as done or not done, and how compaction shuts out an apply that
+// began before it.
+//
+// # How a revision spreads
+//
+// A few VMs of each data centre watch the head. The others hear of a revision
+// from their peers and fetch the changed files from them, so the calls that the
+// store counts grow with data centres and changes, not with VMs. A Follower
+// decides what a VM does with what it hears; it opens no socket, reads no clock
+// and never goes back to a lower revision, whatever the store says. A Runner
+// carries its decisions out.
+package lhstore
