--- /dev/null
+++ b/lhplace/server.go
@@ -0,0 +1,44 @@
+package lhplace
+
+import (
+	"net/netip"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+)
+
+// Server is a backend server as the tables hold it. It is never changed.
+type Server struct {
+	declared lhconf.BackendServer
+	// service is the service whose Servers list holds this server.
+	service *Service
+}
+
+// Number returns the number that identifies the server for ever.
+func (s *Server) Number() uint32 { return s.declared.Number }
+
+// Name returns the declared name.
+func (s *Server) Name() string { return s.declared.Name }
+
+// Service returns the service that the server stands behind.
+func (s *Server) Service() *Service { return s.service }
+
+// Address returns where the server receives Geneve packets.
+func (s *Server) Address() netip.AddrPort { return s.declared.Address }
+
+// Report returns the URL of the server's load report; empty where there is none.
+func (s *Server) Report() string { return s.declared.Report }
+
+// DataCentre returns the data centre that the server stands in.
+func (s *Server) DataCentre() string { return s.declared.DataCentre }
+
+// Weight returns the server's part of new flows against the others; at least 1.
+func (s *Server) Weight() uint32 { return max(s.declared.Weight, 1) }
+
+// Slots returns how many units of work the server carries out at a time; at least 1.
+func (s *Server) Slots() uint32 { return max(s.declared.Slots, 1) }
+
+// Flows returns how many flows the server holds at most; 0 is no limit.
+func (s *Server) Flows() uint32 { return s.declared.Flows }
+
+// Serving reports whether the server takes new flows.
+func (s *Server) Serving() bool { return s.declared.State == lhconf.Serving }
--- /dev/null
+++ b/lhplace/service.go
@@ -0,0 +1,108 @@
+package lhplace
+
+import (
+	"net/netip"
+	"sort"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+)
+
+// Service is a service with its servers and kinds of work. It is never changed.
+type Service struct {
+	declared lhconf.Service
+	// servers is sorted by number.
+	servers []*Server
+	// kinds is sorted by length of prefix, the longest first.
+	kinds []*Kind
+}
+
+// Name returns the declared name.
+func (s *Service) Name() string { return s.declared.Name }
+
+// Address returns the address and port that callers connect to.
+func (s *Service) Address() netip.AddrPort { return s.declared.Address }
+
+// Proto returns the protocol of the service's flows.
+func (s *Service) Proto() lhflow.Proto { return s.declared.Proto }
+
+// Servers returns the service's servers in the order of their numbers. The
+// caller must not change the slice.
+func (s *Service) Servers() []*Server { return s.servers }
+
+// Kinds returns the service's kinds of work, the longest caller prefix first.
+// The caller must not change the slice.
+func (s *Service) Kinds() []*Kind { return s.kinds }
+
+// KindOf returns the kind with the longest prefix that holds the caller. A
+// service without such a kind has none, and the result is nil.
+func (s *Service) KindOf(caller [16]byte) *Kind {
+	a := netip.AddrFrom16(caller).Unmap()
+	for _, k := range s.kinds {
+		if k.holds(a) {
+			return k
+		}
+	}
+	return nil
+}
+
+// Kind is a kind of work of one service. It is never changed.
+type Kind struct {
+	declared lhconf.Kind
+	// number is unique within a Table and never 0.
+	number uint16
+}
+
+// Number returns the number that records of flows carry.
+func (k *Kind) Number() uint16 { return k.number }
+
+// Name returns the declared name.
+func (k *Kind) Name() string { return k.declared.Name }
+
+// Urgency returns the kind's urgency; a higher one is refused later.
+func (k *Kind) Urgency() lhconf.Urgency { return k.declared.Urgency }
+
+// Share returns the guaranteed part of the service's capacity, from 0 to 1.
+func (k *Kind) Share() float64 { return float64(k.declared.Share) / 100 }
+
+// Flows returns the limit of flows over the whole group; 0 is no limit.
+func (k *Kind) Flows() uint32 { return k.declared.Flows }
+
+func (k *Kind) holds(a netip.Addr) bool {
+	p := k.declared.Callers
+	return !p.IsValid() || p.Contains(a)
+}
+
+// prefixLength returns the bits of the kind's caller prefix; -1 for all callers.
+func (k *Kind) prefixLength() int { return k.declared.Callers.Bits() }
+
+// numberKinds gives each kind a number that depends on names alone. Of two names
+// with the same hash, the later one in order takes the next free number.
+func numberKinds(kinds []lhconf.Kind) map[string]uint16 {
+	names := make([]string, 0, len(kinds))
+	for _, k := range kinds {
+		names = append(names, kindName(k))
+	}
+	sort.Strings(names)
+	numbers := make(map[string]uint16, len(names))
+	taken := make(map[uint16]bool, len(names))
+	for _, n := range names {
+		h := hash16(n)
+		for h == 0 || taken[h] {
+			h++
+		}
+		numbers[n], taken[h] = h, true
+	}
+	return numbers
+}
+
+func kindName(k lhconf.Kind) string { return k.Service + "/" + k.Name }
+
+// hash16 folds the 32-bit FNV-1a hash of s.
+func hash16(s string) uint16 {
+	h := uint32(2166136261)
+	for i := range len(s) {
+		h = (h ^ uint32(s[i])) * 16777619
+	}
+	return uint16(h>>16) ^ uint16(h)
+}
