lhflow: hand over what views that differ leave out

The trace showed three gaps. A first owner with a newer view counted on the second to pass a new record on to a joining member that the second did not know yet. A second owner with a newer view did not tell the new first owner. A record still opening was not found by a new first owner. Ruled out: lost hand-over messages (the test loses none) and expiry. Change: an owner also sends records that it got shortly before its view changed; a second owner lists a record for holders that the packet did not pass; a search finds records that are still opening.

--- /dev/null
+++ b/lhentry/forward.go
@@ -0,0 +1,207 @@
+package lhentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhwire"
+)
+
+// bufferSize holds the largest UDP datagram, in bytes.
+const bufferSize = 1 << 16
+
+// forwarder reads packets and carries out what the engine decides. Each worker
+// has one of its own.
+type forwarder struct {
+	entry   *Entry
+	decoder lhwire.Decoder
+	counters
+	in  []byte
+	out []byte
+}
+
+func newForwarder(e *Entry) *forwarder {
+	return &forwarder{entry: e, in: make([]byte, bufferSize), out: make([]byte, 0, bufferSize)}
+}
+
+// run forwards packets until the context ends or the socket is closed.
+func (f *forwarder) run(ctx context.Context) error {
+	for {
+		n, from, err := f.entry.socket.ReadFromUDPAddrPort(f.in)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// A UDP socket reports an earlier send's ICMP error here.
+			f.add(CountSendFailed)
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		f.packet(f.in[:n], from, f.entry.now())
+	}
+}
+
+// packet handles one datagram.
+func (f *forwarder) packet(datagram []byte, from netip.AddrPort, now time.Duration) {
+	f.add(CountReceived)
+	p, fault := f.decoder.Decode(datagram)
+	if fault != lhwire.FaultNone {
+		f.faults[fault].Add(1)
+		return
+	}
+	ev := lhflow.Event{
+		Now:    now,
+		Flags:  p.Flags(),
+		Seq:    p.Seq(),
+		Ack:    p.Ack(),
+		Data:   p.Data(),
+		Quoted: p.Quoted(),
+	}
+	if !f.identify(p, from, &ev) {
+		f.add(CountForeign)
+		return
+	}
+	if fault := p.Forward(); fault != lhwire.FaultNone {
+		f.faults[fault].Add(1)
+		return
+	}
+	f.carryOut(p, &ev, f.entry.engine.Handle(ev))
+}
+
+// identify fills in who sent the packet. It reports false for a source that is
+// no known member, fabric or backend server address.
+func (f *forwarder) identify(p *lhwire.Packet, from netip.AddrPort, ev *lhflow.Event) bool {
+	switch {
+	case p.Sender() != 0:
+		return f.fromPeer(p, from, ev)
+	case f.entry.fabric[from.Addr()]:
+		ev.Source = lhflow.FromCaller
+	default:
+		ev.Source = lhflow.FromServer
+	}
+	ev.Key = p.Key(ev.Source)
+	ev.ID = f.entry.settings.Seed.ID(ev.Key)
+	if ev.Source == lhflow.FromCaller {
+		return true
+	}
+	table := f.entry.table.Load()
+	service, ok := table.Service(ev.Key)
+	if !ok {
+		return false
+	}
+	ev.Server, ok = table.ServerAt(from, service)
+	return ok
+}
+
+func (f *forwarder) fromPeer(p *lhwire.Packet, from netip.AddrPort, ev *lhflow.Event) bool {
+	member, ok := f.entry.engine.View().Member(p.Sender())
+	if !ok || member.Data != from {
+		return false
+	}
+	f.add(CountFromPeer)
+	ev.Peer = p.Sender()
+	ev.Relay = p.Relay()
+	ev.Source = ev.Relay.Source
+	ev.Key = p.Key(ev.Source)
+	ev.ID = f.entry.settings.Seed.ID(ev.Key)
+	if ev.Source == lhflow.FromServer {
+		ev.Server = ev.Relay.Server
+	}
+	return true
+}
+
+func (f *forwarder) carryOut(p *lhwire.Packet, ev *lhflow.Event, v lhflow.Verdict) {
+	if v.Reason != lhflow.ReasonNone {
+		f.reasons[v.Reason].Add(1)
+	}
+	if v.Abandon != 0 {
+		f.abandon(ev, v.Abandon)
+	}
+	switch v.Action {
+	case lhflow.ToServer:
+		f.toServer(p, v.Server)
+	case lhflow.ToCaller:
+		f.add(CountToCaller)
+		f.send(p.Inner(), f.entry.settings.FabricTo)
+	case lhflow.ToPeer:
+		f.toPeer(p, v)
+	case lhflow.Refuse:
+		f.add(CountRefused)
+		f.answer(refusal(p))
+	case lhflow.Reset:
+		f.add(CountReset)
+		f.answer(refusal(p))
+	}
+}
+
+// refusal returns the inner packet that ends the flow of p towards its caller. A
+// reset of a SYN says that nothing ran; a reset of a later segment says that the
+// outcome is not known; an ICMP error says that its datagram did not run.
+func refusal(p *lhwire.Packet) []byte {
+	if p.Proto() == lhflow.UDP {
+		return lhwire.Prohibited(p)
+	}
+	return lhwire.ResetToCaller(p)
+}
+
+func (f *forwarder) answer(inner []byte) {
+	if inner != nil {
+		f.send(inner, f.entry.settings.FabricTo)
+	}
+}
+
+func (f *forwarder) toServer(p *lhwire.Packet, number uint32) {
+	server, ok := f.entry.table.Load().Server(number)
+	if !ok {
+		f.reasons[lhflow.ReasonServerGone].Add(1)
+		return
+	}
+	inner := p.Inner()
+	if p.Flags().Has(lhflow.SYN) {
+		inner = lhwire.StripSYNData(p)
+	}
+	if limit := f.entry.innerLimit(server.Address()); len(inner) > limit {
+		f.add(CountTooBig)
+		f.answer(lhwire.TooBig(p, uint16(limit)))
+		return
+	}
+	f.add(CountToServer)
+	f.send(inner, server.Address())
+}
+
+func (f *forwarder) toPeer(p *lhwire.Packet, v lhflow.Verdict) {
+	member, ok := f.entry.engine.View().Member(v.Peer)
+	if !ok {
+		f.reasons[lhflow.ReasonCutOff].Add(1)
+		return
+	}
+	f.add(CountToPeer)
+	f.out = lhwire.AppendGeneve(f.out[:0], p.Inner(), f.entry.self, v.Relay)
+	f.write(member.Data)
+}
+
+// abandon resets the half-open flow at a server that did not answer its SYN.
+func (f *forwarder) abandon(ev *lhflow.Event, number uint32) {
+	server, ok := f.entry.table.Load().Server(number)
+	if !ok {
+		return
+	}
+	f.add(CountAbandoned)
+	f.send(lhwire.ResetToServer(ev.Key, ev.Seq+1), server.Address())
+}
+
+// send sends an inner packet in a Geneve packet.
+func (f *forwarder) send(inner []byte, to netip.AddrPort) {
+	f.out = lhwire.AppendGeneve(f.out[:0], inner, 0, lhflow.Relay{})
+	f.write(to)
+}
+
+func (f *forwarder) write(to netip.AddrPort) {
+	if _, err := f.entry.socket.WriteToUDPAddrPort(f.out, to); err != nil {
+		f.add(CountSendFailed)
+	}
+}
--- a/lhflow/handover.go
+++ b/lhflow/handover.go
@@ -68,21 +68,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, en := range s.entries {
-		e.list(id, &en, old, v)
+		e.list(now, id, &en, old, v)
 		e.account(now, id, &en, v)
 		s.entries[id] = en
 	}
 }
 
 // list lists a record for the members that lack it. The first member of the old
-// holders that is still there sends it; where none is, all that have learned it do.
-func (e *Engine) list(id ID, en *entry, old, v *View) {
+// holders that is still there sends it; where none is, all that have learned it
+// do. An owner also sends a record that it got shortly before: the sender may have
+// had the new view by then, and thinks that the packet passed the new holders.
+func (e *Engine) list(now time.Duration, id ID, en *entry, old, v *View) {
 	if en.state < Opening || en.state == Closed {
 		return
 	}
 	before := holders(old, id)
 	sender := firstLeft(before, v)
-	if sender != 0 && sender != v.Self {
+	recent := en.has(owned) && ticks(now).since(en.renewed) < int32(settle.Milliseconds())
+	if sender != 0 && sender != v.Self && !recent {
 		return
 	}
 	for _, m := range holders(v, id) {
@@ -170,13 +173,12 @@
 	e.pending.mu.Lock()
 	defer e.pending.mu.Unlock()
 	list := e.pending.flows[m]
-	n = min(n, len(list))
-	ids := list[:n:n]
-	e.pending.flows[m] = list[n:]
-	if n == len(list) {
+	if n >= len(list) {
 		delete(e.pending.flows, m)
+		return list
 	}
-	return ids
+	e.pending.flows[m] = list[n:]
+	return list[:n:n]
 }
 
 // Return lists records again that could not be sent to member m.
@@ -188,10 +190,15 @@
 
 // Receive keeps records that another member hands over. What this VM knows of a
 // flow already stands.
-func (e *Engine) Receive(now time.Duration, batch []Record) {
+func (e *Engine) Receive(now time.Duration, from MemberID, batch []Record) {
 	view := e.view.Load()
 	for _, r := range batch {
 		e.receive(now, view, r)
+		owners := view.Owners(r.ID)
+		if owners.First == view.Self && owners.Second != 0 && owners.Second != from {
+			// The record comes late: the second owner may lack it as well.
+			e.pending.add(owners.Second, r.ID)
+		}
 	}
 }
 
--- a/lhflow/relay.go
+++ b/lhflow/relay.go
@@ -54,6 +54,7 @@
 	en := copied(ev, mine, known)
 	e.storeLocked(s, ev.ID, en)
 	s.mu.Unlock()
+	e.tellSkipped(ev, view)
 	next := e.next(view, ev.ID)
 	if next == 0 || next == ev.Peer || next == ev.Relay.Origin || ev.Relay.Hops >= maxHops {
 		return e.send(ev, &en)
@@ -63,6 +64,19 @@
 	return Verdict{Action: ToPeer, Peer: next, Relay: relay}
 }
 
+// tellSkipped lists a record for hand-over to the holders that come before this
+// VM in its own view and that the packet did not pass: the sender's view differs.
+func (e *Engine) tellSkipped(ev *Event, view *View) {
+	for _, m := range holders(view, ev.ID) {
+		if m == view.Self {
+			return
+		}
+		if m != 0 && m != ev.Peer && m != ev.Relay.Origin {
+			e.pending.add(m, ev.ID)
+		}
+	}
+}
+
 func (e *Engine) copyRefusal(ev *Event, view *View) Verdict {
 	e.refused.add(ev.Now, ev.ID, ev.Relay.ISN)
 	next := e.next(view, ev.ID)
@@ -158,6 +172,9 @@
 		e.placer.Closed(ev.Now, mine.server, mine.work)
 		e.placer.Opened(ev.Now, en.server, en.work)
 	}
+	if owners := view.Owners(ev.ID); owners.First == view.Self {
+		return e.decide(ev, view, owners)
+	}
 	if ev.Source == FromServer && ev.Server != en.server {
 		return Verdict{Reason: ReasonLateAnswer}
 	}
@@ -180,7 +197,7 @@
 	if ev.Relay.Origin == view.Self {
 		return e.unknown(ev, view)
 	}
-	if en, known := e.lookup(ev.ID); known && en.state >= Open {
+	if en, known := e.lookup(ev.ID); known && en.state >= Opening {
 		return teach(ev, &en)
 	}
 	relay := ev.Relay
@@ -225,8 +242,8 @@
 // lost the flow may live with one that can't be reached, so the caller is left to
 // repeat the packet; later it is told by a reset.
 func (e *Engine) unknown(ev *Event, view *View) Verdict {
-	if en, known := e.lookup(ev.ID); known && en.state >= Open {
-		return e.adopt(ev, en)
+	if en, known := e.lookup(ev.ID); known && en.state >= Opening {
+		return e.adopt(ev, view, en)
 	}
 	if ev.Key.Proto == UDP && ev.Source == FromCaller {
 		return e.place(ev, view, entry{})
@@ -244,12 +261,8 @@
 }
 
 // adopt makes a learned record the owner's own.
-func (e *Engine) adopt(ev *Event, en entry) Verdict {
-	if ev.Source == FromServer && ev.Server != en.server {
-		return Verdict{Reason: ReasonLateAnswer}
-	}
+func (e *Engine) adopt(ev *Event, view *View, en entry) Verdict {
 	en.marks |= owned
-	en.seen = ticks(ev.Now)
 	e.store(ev.ID, en)
-	return e.send(ev, &en)
+	return e.decide(ev, view, view.Owners(ev.ID))
 }
--- a/lhflow/view.go
+++ b/lhflow/view.go
@@ -78,8 +78,11 @@
 // Has reports whether m is one of the owners.
 func (o Owners) Has(m MemberID) bool { return m != 0 && (o.First == m || o.Second == m) }
 
-// Owners returns the owners of a flow at present: the two highest in rendezvous
-// order among the members that are active or leaving.
+// Owners returns the owners of a flow at present, among the members that are
+// active or leaving. The first is the highest in rendezvous order. The second is
+// the highest of another data centre, so that a rack or a data centre that fails
+// takes one copy of a record at most; in a group within one data centre it is the
+// next in order. Two views that differ by one member have an owner in common.
 func (v *View) Owners(id ID) Owners { return v.owners(id, Active, Leaving) }
 
 // NextOwners returns the owners once every joining member has joined and every
@@ -87,23 +90,57 @@
 func (v *View) NextOwners(id ID) Owners { return v.owners(id, Joining, Active) }
 
 func (v *View) owners(id ID, a, b MemberState) Owners {
-	var best Owners
-	var high, second uint64
+	var first, apart, other candidate
 	for i := range v.Members {
 		m := &v.Members[i]
 		if m.State != a && m.State != b {
 			continue
 		}
-		w := Rank(id, uint64(m.ID))
-		switch {
-		case best.First == 0 || w > high:
-			best.Second, second = best.First, high
-			best.First, high = m.ID, w
-		case best.Second == 0 || w > second:
-			best.Second, second = m.ID, w
+		c := candidate{member: m, rank: Rank(id, uint64(m.ID))}
+		if c.above(first) {
+			first, c = c, first
 		}
+		if c.member == nil {
+			continue
+		}
+		other = c.max(other)
+	}
+	if first.member == nil {
+		return Owners{}
+	}
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.DataCentre == first.member.DataCentre || m.State != a && m.State != b {
+			continue
+		}
+		apart = candidate{member: m, rank: Rank(id, uint64(m.ID))}.max(apart)
+	}
+	if apart.member == nil {
+		apart = other
+	}
+	owners := Owners{First: first.member.ID}
+	if apart.member != nil {
+		owners.Second = apart.member.ID
+	}
+	return owners
+}
+
+// candidate is a member and its place in a flow's rendezvous order.
+type candidate struct {
+	// member is nil for no candidate.
+	member *Member
+	rank   uint64
+}
+
+func (c candidate) above(d candidate) bool {
+	return d.member == nil || c.rank > d.rank
+}
+
+func (c candidate) max(d candidate) candidate {
+	if c.above(d) {
+		return c
 	}
-	return best
+	return d
 }
 
 // Rank returns the rendezvous weight of a candidate for a flow.
