--- a/lhwire/reply.go
+++ b/lhwire/reply.go
@@ -76,9 +76,10 @@
 		layers.CreateICMPv6TypeCode(layers.ICMPv6TypePacketTooBig, 0), mtu)
 }
 
-// StripSYNData returns the inner packet of a SYN without its payload.
+// StripSYNData returns the inner packet of a SYN without its payload. Any other
+// packet is returned as it is.
 func StripSYNData(p *Packet) []byte {
-	if len(p.payload) == 0 {
+	if !p.flags.Has(lhflow.SYN) || len(p.payload) == 0 {
 		return p.inner
 	}
 	var d Decoder
