--- /dev/null
+++ b/lhstore/page.go
@@ -0,0 +1,86 @@
+package lhstore
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"maps"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+)
+
+const (
+	// PageCount is the number of pages that the files are parted over. With 16,000
+	// files a page holds 250, and a manifest that names all pages has 2 KB.
+	PageCount = 64
+	// maxUnpacked bounds what a value may grow to when it is decompressed, in bytes.
+	maxUnpacked = 64 << 20
+)
+
+// page is one part of a configuration. It is never changed after it has been built.
+type page struct {
+	// Files holds the text of each file by name.
+	Files map[string]string `json:"files,omitempty"`
+	// Numbers holds the number of each backend server by its serverKey.
+	Numbers map[string]uint32 `json:"numbers,omitempty"`
+}
+
+// pageOf returns the index of the page for a file name or a server's key.
+func pageOf(name string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return int(h.Sum32() % PageCount)
+}
+
+// clone returns a copy that may be changed until it is shared.
+func (p page) clone() page {
+	c := page{Files: maps.Clone(p.Files), Numbers: maps.Clone(p.Numbers)}
+	if c.Files == nil {
+		c.Files = map[string]string{}
+	}
+	if c.Numbers == nil {
+		c.Numbers = map[string]uint32{}
+	}
+	return c
+}
+
+// hash returns the name of the page's contents; empty for an empty page.
+func (p page) hash() string {
+	if len(p.Files) == 0 && len(p.Numbers) == 0 {
+		return ""
+	}
+	// Maps are encoded in the order of their keys, so equal pages have equal hashes.
+	data, _ := json.Marshal(p)
+	sum := sha256.Sum256(data)
+	return base64.RawURLEncoding.EncodeToString(sum[:16])
+}
+
+func pageKey(hash string) string { return "page/" + hash }
+
+// pack encodes v for the store. The stamp makes each write differ from all
+// others, also at a store whose ETag depends on the value alone.
+func pack(v any, stamp string) ([]byte, error) {
+	var buffer bytes.Buffer
+	z, _ := gzip.NewWriterLevel(&buffer, gzip.BestCompression)
+	z.Comment = stamp
+	if err := json.NewEncoder(z).Encode(v); err != nil {
+		return nil, lhcode.Wrap(lhcode.Internal, err, "encode")
+	}
+	if err := z.Close(); err != nil {
+		return nil, lhcode.Wrap(lhcode.Internal, err, "compress")
+	}
+	return buffer.Bytes(), nil
+}
+
+func unpack(data []byte, v any) error {
+	z, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return lhcode.Wrap(lhcode.Internal, err, "decompress")
+	}
+	err = json.NewDecoder(io.LimitReader(z, maxUnpacked)).Decode(v)
+	return lhcode.Wrap(lhcode.Internal, err, "decode")
+}
