lhstore: compact under a lease, and restore a store that lost revisions

Compaction lists what no retained revision needs, swaps the head under the lease's fencing number and deletes by tag. A paused holder that goes on late loses its swap, or its deletes name writes that are gone; the holder that deletes by name alone destroys a page in the test. An apply refuses a head below what the VMs hold, and Restore brings the store back up to it.

--- a/lhstand/platform.go
+++ b/lhstand/platform.go
@@ -8,7 +8,9 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/url"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -203,7 +205,7 @@
 	case kind == "leases":
 		p.serveLease(w, r, rest)
 	case kind == "keys" && rest == "":
-		p.serveList(w, r.URL.Query().Get("prefix"))
+		p.serveList(w, r.URL.Query())
 	case kind == "keys" && r.Method == http.MethodGet:
 		p.serveRead(w, r, rest)
 	case kind == "keys":
@@ -356,16 +358,20 @@
 	return true
 }
 
-func (p *Platform) serveList(w http.ResponseWriter, prefix string) {
+func (p *Platform) serveList(w http.ResponseWriter, query url.Values) {
+	prefix, after := query.Get("prefix"), query.Get("after")
 	p.mu.Lock()
 	entries := []lhstore.Entry{}
 	for key, value := range p.keys {
-		if strings.HasPrefix(key, prefix) {
+		if strings.HasPrefix(key, prefix) && key > after {
 			entries = append(entries, lhstore.Entry{Key: key, ETag: value.ETag})
 		}
 	}
 	p.mu.Unlock()
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	if limit, err := strconv.Atoi(query.Get("limit")); err == nil && limit < len(entries) {
+		entries = entries[:limit]
+	}
 	_ = json.NewEncoder(w).Encode(entries)
 }
 
--- a/lhstore/client.go
+++ b/lhstore/client.go
@@ -20,6 +20,8 @@
 	CallTimeout = 2 * time.Second
 	// WatchSlack is added to the wait of a watch to bound the whole call.
 	WatchSlack = 2 * time.Second
+	// listLimit is the number of keys that one call lists.
+	listLimit = 1000
 )
 
 // Value is what a key holds, and the tag of that very write.
@@ -115,9 +117,19 @@
 
 // List returns the keys that begin with prefix, in order.
 func (c *Client) List(ctx context.Context, prefix string) ([]Entry, error) {
-	var entries []Entry
-	err := c.document(ctx, "/keys?prefix="+url.QueryEscape(prefix), &entries)
-	return entries, err
+	var all []Entry
+	for after := ""; ; {
+		var some []Entry
+		query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(listLimit)}}
+		if err := c.document(ctx, "/keys?"+query.Encode(), &some); err != nil {
+			return nil, err
+		}
+		all = append(all, some...)
+		if len(some) < listLimit {
+			return all, nil
+		}
+		after = some[len(some)-1].Key
+	}
 }
 
 // VMs returns the platform's list of VMs, which lags behind.
--- /dev/null
+++ b/lhstore/compact_test.go
@@ -0,0 +1,222 @@
+package lhstore_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhstand"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+)
+
+func TestLeaseCheck(t *testing.T) {
+	asked := time.Unix(100, 0)
+	cases := []struct {
+		name  string
+		lease lhstore.Lease
+		after time.Duration
+		want  lhcode.Code
+	}{
+		{"zero", lhstore.Lease{}, 0, lhcode.LeaseLost},
+		{"fresh", lhstore.NewLease(1, asked), 0, lhcode.OK},
+		{"before the margin", lhstore.NewLease(1, asked), lhstore.LeaseLife - lhstore.LeaseMargin - 1, lhcode.OK},
+		{"within the margin", lhstore.NewLease(1, asked), lhstore.LeaseLife - lhstore.LeaseMargin, lhcode.LeaseLost},
+	}
+	for _, c := range cases {
+		assert.Equal(t, lhcode.Of(c.lease.Check(asked.Add(c.after))), c.want, c.name)
+	}
+}
+
+// applyText brings file a to a text that follows another.
+func applyText(t *testing.T, store lhstore.Store, from, to string) {
+	t.Helper()
+	c := change(from+">"+to, text("a", to))
+	if from != "" {
+		c.Files[0].Base = lhstore.Hash(from)
+	}
+	_, err := newApplier(store).Apply(t.Context(), c)
+	assert.NilError(t, err)
+}
+
+func TestCompactKeepsWhatIsNeeded(t *testing.T) {
+	_, store := startPlatform(t)
+	for i := range 10 {
+		from := ""
+		if i > 0 {
+			from = fmt.Sprint("text ", i-1)
+		}
+		applyText(t, store, from, fmt.Sprint("text ", i))
+	}
+	c := lhstore.NewCompactor(store, "vm-1", 3, time.Now)
+	removed, err := c.Compact(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, removed >= 7, "removed %d", removed)
+	manifests, err := store.List(t.Context(), "manifest/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(manifests), 3)
+	s, err := lhstore.Open(t.Context(), store)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Files(), map[string]string{"a": "text 9"})
+}
+
+// TestPausedCompaction pauses a holder before its swap of the head or before its
+// deletes, until its lease has lapsed and an apply has made the garbage part of
+// the configuration again. The naive holder, which deletes by name, destroys it.
+func TestPausedCompaction(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause string
+		naive bool
+		want  lhcode.Code
+		lost  bool
+	}{
+		{"before the swap", "swap", false, lhcode.PreconditionFailed, false},
+		{"before the deletes", "delete", false, lhcode.LeaseLost, false},
+		{"before the deletes, naive", "delete", true, lhcode.OK, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, store := startPlatform(t)
+			applyText(t, store, "", "x")
+			applyText(t, store, "x", "y")
+			now := time.Now()
+			paused := &pausing{Client: store, at: c.pause, naive: c.naive}
+			paused.resume = func() {
+				if !c.naive {
+					now = now.Add(lhstore.LeaseLife)
+				}
+				applyText(t, store, "y", "x")
+			}
+			holder := lhstore.NewCompactor(paused, "vm-1", 1, func() time.Time { return now })
+			_, err := holder.Compact(t.Context())
+			assert.Equal(t, lhcode.Of(err), c.want)
+			_, err = lhstore.Open(t.Context(), store)
+			assert.Equal(t, err != nil, c.lost)
+		})
+	}
+}
+
+// pausing runs resume once before a call of the kind at.
+type pausing struct {
+	*lhstore.Client
+	at     string
+	naive  bool
+	resume func()
+}
+
+func (p *pausing) pause(at string) {
+	if at == p.at && p.resume != nil {
+		resume := p.resume
+		p.resume = nil
+		resume()
+	}
+}
+
+func (p *pausing) Swap(ctx context.Context, key, etag string, data []byte) (string, error) {
+	p.pause("swap")
+	return p.Client.Swap(ctx, key, etag, data)
+}
+
+func (p *pausing) Delete(ctx context.Context, key, etag string) error {
+	p.pause("delete")
+	if !p.naive {
+		return p.Client.Delete(ctx, key, etag)
+	}
+	value, err := p.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	return p.Client.Delete(ctx, key, value.ETag)
+}
+
+// TestLateDelete resumes a holder whose clock stood still as well, so that only
+// the tags of what it saw protect the pages.
+func TestLateDelete(t *testing.T) {
+	_, store := startPlatform(t)
+	applyText(t, store, "", "x")
+	applyText(t, store, "x", "y")
+	paused := &pausing{Client: store, at: "delete", resume: func() { applyText(t, store, "y", "x") }}
+	still := time.Now()
+	_, err := lhstore.NewCompactor(paused, "vm-1", 1, func() time.Time { return still }).Compact(t.Context())
+	assert.NilError(t, err)
+	s, err := lhstore.Open(t.Context(), store)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Files(), map[string]string{"a": "x"})
+}
+
+// TestFencedCompaction lets a second holder take the lapsed lease and compact
+// while the first is paused before its swap: the first must lose.
+func TestFencedCompaction(t *testing.T) {
+	var now time.Time
+	p := &lhstand.Platform{Clock: func() time.Time { return now }}
+	assert.NilError(t, p.Start())
+	t.Cleanup(func() { _ = p.Close() })
+	store := lhstore.NewClient(p.URL(), nil)
+	applyText(t, store, "", "x")
+	applyText(t, store, "x", "y")
+	still := now
+	paused := &pausing{Client: store, at: "swap", resume: func() {
+		now = now.Add(2 * lhstore.LeaseLife)
+		second := lhstore.NewCompactor(store, "vm-2", 1, func() time.Time { return now })
+		removed, err := second.Compact(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, removed > 0)
+	}}
+	_, err := lhstore.NewCompactor(paused, "vm-1", 1, func() time.Time { return still }).Compact(t.Context())
+	assert.Equal(t, lhcode.Of(err), lhcode.PreconditionFailed)
+}
+
+func TestRestoreAfterOlderState(t *testing.T) {
+	cases := []struct {
+		name string
+		// applied on the store after it returned to the older state.
+		applied  []string
+		want     lhcode.Code
+		revision uint64
+	}{
+		{"store is lower", nil, lhcode.OK, 2},
+		{"store has parted", []string{"p"}, lhcode.OK, 3},
+		{"store is higher", []string{"p", "q"}, lhcode.RevisionLower, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p, store := startPlatform(t)
+			ctx := t.Context()
+			applyText(t, store, "", "x")
+			backup := p.Backup()
+			applyText(t, store, "x", "y")
+			held, err := lhstore.Open(ctx, store)
+			assert.NilError(t, err)
+			p.Restore(backup)
+
+			// Operators who ask the VMs are refused; only those who don't can part the chain.
+			guarded := lhstore.NewApplier(store, checkLines, assignNumbers, fleet{held.Position()})
+			_, err = guarded.Apply(ctx, change("2", text("b", "z")))
+			assert.Equal(t, lhcode.Of(err), lhcode.RevisionLower)
+			from := "x"
+			for _, to := range c.applied {
+				applyText(t, store, from, to)
+				from = to
+			}
+			at, err := lhstore.Restore(ctx, store, "restore", &held)
+			assert.Equal(t, lhcode.Of(err), c.want)
+			s, err := lhstore.Open(ctx, store)
+			assert.NilError(t, err)
+			assert.Equal(t, s.Position().Revision, c.revision)
+			if c.want == lhcode.OK {
+				assert.Equal(t, s.Position(), at)
+				assert.DeepEqual(t, s.Files(), held.Files())
+				_, err = guarded.Apply(ctx, change("2", text("b", "z")))
+				assert.NilError(t, err)
+			}
+		})
+	}
+}
+
+type fleet struct{ highest lhstore.Position }
+
+func (f fleet) Highest(context.Context) (lhstore.Position, error) { return f.highest, nil }
--- a/lhstore/head.go
+++ b/lhstore/head.go
@@ -33,8 +33,6 @@
 	Turn uint64 `json:"turn"`
 	// Fence is the highest fencing number under which compaction has run.
 	Fence uint64 `json:"fence"`
-	// Floor is the lowest revision whose manifest compaction has kept.
-	Floor uint64 `json:"floor"`
 	// etag is of the write that the head was read from; empty for none.
 	etag string
 }
--- a/lhstore/manifest.go
+++ b/lhstore/manifest.go
@@ -6,9 +6,13 @@
 	"encoding/json"
 )
 
-// inlineLimit is the size of the changes that a manifest lists itself, in bytes
-// of text. Whoever lacks a revision with more compares its pages.
-const inlineLimit = 64 << 10
+const (
+	// manifestPrefix begins the key of each manifest.
+	manifestPrefix = "manifest/"
+	// inlineLimit is the size of the changes that a manifest lists itself, in bytes
+	// of text. Whoever lacks a revision with more compares its pages.
+	inlineLimit = 64 << 10
+)
 
 // FileText is a file as a revision left it.
 type FileText struct {
@@ -58,4 +62,4 @@
 	return Position{Revision: m.Revision - 1, Digest: m.Previous}
 }
 
-func manifestKey(p Position) string { return "manifest/" + p.String() }
+func manifestKey(p Position) string { return manifestPrefix + p.String() }
--- a/lhstore/page.go
+++ b/lhstore/page.go
@@ -17,6 +17,8 @@
 	// PageCount is the number of pages that the files are parted over. With 16,000
 	// files a page holds 250, and a manifest that names all pages has 2 KB.
 	PageCount = 64
+	// pagePrefix begins the key of each page.
+	pagePrefix = "page/"
 	// maxUnpacked bounds what a value may grow to when it is decompressed, in bytes.
 	maxUnpacked = 64 << 20
 )
@@ -59,7 +61,7 @@
 	return base64.RawURLEncoding.EncodeToString(sum[:16])
 }
 
-func pageKey(hash string) string { return "page/" + hash }
+func pageKey(hash string) string { return pagePrefix + hash }
 
 // pack encodes v for the store. The stamp makes each write differ from all
 // others, also at a store whose ETag depends on the value alone.
--- a/lhstore/snapshot.go
+++ b/lhstore/snapshot.go
@@ -52,8 +52,8 @@
 	}
 	config.Revision = s.position.Revision
 	config.NextNumber = s.manifest.NextNumber
-	for i := range config.Servers {
-		key := serverKey(config.Servers[i])
+	config.Servers = slices.Clone(config.Servers)
+	for i, key := range serverKeys(config) {
 		config.Servers[i].Number = s.pages[pageOf(key)].Numbers[key]
 	}
 	return config, nil
@@ -64,7 +64,7 @@
 	config := lhconf.Config{Revision: s.position.Revision, NextNumber: s.manifest.NextNumber}
 	for _, p := range s.pages {
 		for key, number := range p.Numbers {
-			config.Servers = append(config.Servers, parseServerKey(key, number))
+			addServer(&config, key, number)
 		}
 	}
 	slices.SortFunc(config.Servers, func(a, b lhconf.BackendServer) int { return int(a.Number) - int(b.Number) })
@@ -79,7 +79,7 @@
 		Previous:   s.position.Digest,
 		NextNumber: config.NextNumber,
 		Files:      files,
-		Numbers:    s.numbersGiven(config.Servers),
+		Numbers:    s.numbersGiven(config),
 	}
 	next := s.changed(m)
 	if size(m) > inlineLimit {
@@ -142,15 +142,14 @@
 	s.manifest, s.position = m, m.Position()
 }
 
-// numbersGiven returns how the numbers of servers differ from the snapshot's.
-func (s *Snapshot) numbersGiven(servers []lhconf.BackendServer) []NumberGiven {
+// numbersGiven returns how the numbers of config's servers differ from the snapshot's.
+func (s *Snapshot) numbersGiven(config lhconf.Config) []NumberGiven {
 	var given []NumberGiven
 	kept := map[string]bool{}
-	for _, b := range servers {
-		key := serverKey(b)
+	for i, key := range serverKeys(config) {
 		kept[key] = true
-		if s.pages[pageOf(key)].Numbers[key] != b.Number {
-			given = append(given, NumberGiven{Server: key, Number: b.Number})
+		if number := config.Servers[i].Number; s.pages[pageOf(key)].Numbers[key] != number {
+			given = append(given, NumberGiven{Server: key, Number: number})
 		}
 	}
 	for _, p := range s.pages {
