lhstore: follow the head, and take contents from peers

A Follower decides when a VM reads or watches the head, what to load and what to refuse; it never goes back, also when the store does. A Runner carries it out through outages and gives peers the changes of the latest revisions, or the whole. Two VMs of each data centre watch, by rendezvous.

--- /dev/null
+++ b/lhstore/follower.go
@@ -0,0 +1,206 @@
+package lhstore
+
+import (
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+)
+
+const (
+	// WatchWait is how long a watch of the head waits for a change.
+	WatchWait = 30 * time.Second
+	// checkPeriod is the mean time between two reads of the head by a VM that
+	// does not watch it. It finds what gossip has missed.
+	checkPeriod = 10 * time.Minute
+	// firstBackoff is the longest wait after a first failed call; each further
+	// failure doubles it.
+	firstBackoff = 250 * time.Millisecond
+	// maxWatchBackoff and maxBackoff bound the wait of a VM that watches, of which
+	// there are few, and of any other.
+	maxWatchBackoff = 4 * time.Second
+	maxBackoff      = time.Minute
+)
+
+// Alarm is a state of the store that operators have to see to.
+type Alarm uint8
+
+// The alarms.
+const (
+	AlarmNone Alarm = iota
+	// AlarmStoreLower is a store that holds a lower revision than this VM.
+	AlarmStoreLower
+	// AlarmStoreParted is a store that holds other contents under the revision of
+	// this VM.
+	AlarmStoreParted
+	// AlarmRejected is a revision in the store that this VM can't put in force.
+	AlarmRejected
+)
+
+// String returns the alarm's name in dumps and logs.
+func (a Alarm) String() string {
+	return [...]string{"none", "store-lower", "store-parted", "rejected"}[a&3]
+}
+
+// MarshalText returns the alarm's name.
+func (a Alarm) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
+
+// StepKind is what a Follower does next.
+type StepKind uint8
+
+// The kinds of steps.
+const (
+	// StepRest leaves the store alone until Step.Until.
+	StepRest StepKind = iota
+	// StepRead reads the head.
+	StepRead
+	// StepWatch waits until the head is no longer the one with Step.ETag.
+	StepWatch
+)
+
+// Step is what a Follower does next.
+type Step struct {
+	Kind  StepKind
+	Until time.Duration
+	ETag  string
+}
+
+// FollowerCounts count what a Follower has met.
+type FollowerCounts struct {
+	// Adopted are the revisions put in force.
+	Adopted uint64 `json:"adopted"`
+	// Lower are the heads and contents that were older than what was in force.
+	Lower uint64 `json:"lower"`
+	// Parted are the positions that are not of the chain in force.
+	Parted uint64 `json:"parted"`
+	// Rejected are the revisions that could not be put in force.
+	Rejected uint64 `json:"rejected"`
+	// Failed are the calls of the store without an answer.
+	Failed uint64 `json:"failed"`
+}
+
+// Follower decides how one VM follows the head. Times are the VM's monotonic
+// time; chances are uniform in [0, 1). The zero Follower holds no configuration.
+type Follower struct {
+	// held is in force. Its revision never falls.
+	held Position
+	// seen and etag are of the head when last read.
+	seen Position
+	etag string
+	// known is set once the head has been read, also where there was none.
+	known bool
+	// rejected could not be put in force; it is not loaded again.
+	rejected Position
+	// failures counts the calls without an answer since the last with one.
+	failures int
+	// due is when the store may be called again.
+	due    time.Duration
+	alarm  Alarm
+	counts FollowerCounts
+}
+
+// Held returns the position in force.
+func (f *Follower) Held() Position { return f.held }
+
+// Seen returns the position that the store had when last read.
+func (f *Follower) Seen() Position { return f.seen }
+
+// Alarm returns what the last answer of the store gave cause for.
+func (f *Follower) Alarm() Alarm { return f.alarm }
+
+// Failures returns the number of calls without an answer since the last with one.
+func (f *Follower) Failures() int { return f.failures }
+
+// Counts returns what the Follower has met so far.
+func (f *Follower) Counts() FollowerCounts { return f.counts }
+
+// Step returns what to do at now. A VM that watches waits at the head all the
+// time; another reads it once to join and then now and again.
+func (f *Follower) Step(now time.Duration, watching bool) Step {
+	switch {
+	case watching && f.known && f.failures == 0:
+		return Step{Kind: StepWatch, ETag: f.etag}
+	case now < f.due && (!watching || f.failures > 0):
+		return Step{Kind: StepRest, Until: f.due}
+	}
+	return Step{Kind: StepRead}
+}
+
+// HeadRead takes in the store's head and reports whether to load its contents,
+// which ends in StoreAnswered or StoreFailed.
+func (f *Follower) HeadRead(now time.Duration, at Position, etag string, chance float64) (load bool) {
+	f.seen, f.etag, f.known = at, etag, true
+	f.due = now + time.Duration((0.5+chance)*float64(checkPeriod))
+	f.alarm = AlarmNone
+	switch {
+	case at.Newer(f.held) && at == f.rejected:
+		f.alarm = AlarmRejected
+	case at.Newer(f.held):
+		// Loading may still fail, so that the failures stay as they are.
+		return true
+	case f.held.Newer(at):
+		f.counts.Lower++
+		f.alarm = AlarmStoreLower
+	case at != f.held:
+		f.counts.Parted++
+		f.alarm = AlarmStoreParted
+	}
+	f.failures = 0
+	return false
+}
+
+// StoreAnswered takes in that contents were loaded, or that a watch saw no change.
+func (f *Follower) StoreAnswered() { f.failures = 0 }
+
+// StoreFailed takes in a call without an answer. The next one waits for a time
+// that doubles with each failure and is spread by chance, so that the VMs don't
+// return to the store together.
+func (f *Follower) StoreFailed(now time.Duration, watching bool, chance float64) {
+	f.counts.Failed++
+	limit := maxBackoff
+	if watching {
+		limit = maxWatchBackoff
+	}
+	wait := min(limit, firstBackoff<<min(f.failures, 16))
+	f.failures++
+	f.due = now + time.Duration((0.5+chance/2)*float64(wait))
+}
+
+// MissedChange takes in that a peer's contents could not be joined to those in
+// force: the store is asked for the whole soon.
+func (f *Follower) MissedChange(now time.Duration, chance float64) {
+	f.due = min(f.due, now+time.Duration(chance*float64(maxWatchBackoff)))
+}
+
+// Wants returns an error unless a position may be put in force: one with
+// lhcode.RevisionLower for anything but a higher revision.
+func (f *Follower) Wants(at Position) error {
+	if !at.Newer(f.held) {
+		f.counts.Lower++
+		return lhcode.Newf(lhcode.RevisionLower, "revision %v is not above %v", at, f.held)
+	}
+	if at == f.rejected {
+		return lhcode.Newf(lhcode.SettingInvalid, "revision %v was rejected before", at)
+	}
+	return nil
+}
+
+// Adopt makes a position the one in force if the Follower wants it, where before
+// is the position that it followed.
+func (f *Follower) Adopt(at, before Position) error {
+	if err := f.Wants(at); err != nil {
+		return err
+	}
+	if before.Revision == f.held.Revision && before != f.held {
+		f.counts.Parted++
+	}
+	f.held = at
+	f.counts.Adopted++
+	return nil
+}
+
+// Reject takes in that a position's contents can't be put in force.
+func (f *Follower) Reject(at Position) {
+	f.counts.Rejected++
+	f.rejected = at
+	f.alarm = AlarmRejected
+}
--- /dev/null
+++ b/lhstore/follower_test.go
@@ -0,0 +1,125 @@
+package lhstore
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+)
+
+func at(revision, digest uint64) Position { return Position{Revision: revision, Digest: digest} }
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	cases := []struct {
+		name  string
+		head  Position
+		load  bool
+		alarm Alarm
+	}{
+		{"higher", at(6, 1), true, AlarmNone},
+		{"the same", at(5, 5), false, AlarmNone},
+		{"lower", at(4, 4), false, AlarmStoreLower},
+		{"parted", at(5, 9), false, AlarmStoreParted},
+		{"empty", Position{}, false, AlarmStoreLower},
+		{"rejected", at(7, 7), false, AlarmRejected},
+	}
+	for _, c := range cases {
+		var f Follower
+		assert.NilError(t, f.Adopt(at(5, 5), Position{}))
+		f.Reject(at(7, 7))
+		assert.Equal(t, f.HeadRead(0, c.head, "e", 0), c.load, c.name)
+		assert.Equal(t, f.Alarm(), c.alarm, c.name)
+		if !c.load {
+			assert.Assert(t, f.Adopt(c.head, Position{}) != nil, c.name)
+		}
+		assert.Equal(t, f.Held(), at(5, 5), c.name)
+	}
+}
+
+func TestFollowerSteps(t *testing.T) {
+	var f Follower
+	step := func(now time.Duration, watching bool) StepKind { return f.Step(now, watching).Kind }
+	assert.Equal(t, step(0, false), StepRead, "joining")
+	f.StoreFailed(0, false, 0.5)
+	assert.Equal(t, step(0, false), StepRest, "after a failure")
+	assert.Equal(t, step(firstBackoff, false), StepRead)
+	assert.Assert(t, f.HeadRead(0, at(1, 1), "e", 0))
+	f.StoreFailed(0, true, 0)
+	assert.Equal(t, step(0, true), StepRest, "contents failed")
+	assert.Assert(t, f.HeadRead(0, at(1, 1), "e", 0))
+	f.StoreAnswered()
+	assert.NilError(t, f.Adopt(at(1, 1), Position{}))
+	assert.Equal(t, step(0, true), StepWatch)
+	assert.Equal(t, f.Step(0, false).Until, checkPeriod/2)
+	assert.Equal(t, step(checkPeriod, false), StepRead, "now and again")
+	f.MissedChange(time.Second, 0)
+	assert.Equal(t, step(time.Second, false), StepRead, "after a missed change")
+}
+
+func TestFollowerBackoff(t *testing.T) {
+	for _, watching := range []bool{true, false} {
+		var f Follower
+		limit, last := maxBackoff, time.Duration(0)
+		if watching {
+			limit = maxWatchBackoff
+		}
+		for range 40 {
+			f.StoreFailed(0, watching, 0.999999)
+			wait := f.Step(0, watching).Until
+			assert.Assert(t, wait >= last && wait <= limit, "%v after %v", wait, last)
+			last = wait
+		}
+		assert.Assert(t, last > limit*9/10)
+	}
+}
+
+func TestWatchers(t *testing.T) {
+	members := []lhflow.Member{
+		{ID: 1, DataCentre: "a", State: lhflow.Active},
+		{ID: 2, DataCentre: "a", State: lhflow.Active},
+		{ID: 3, DataCentre: "a", State: lhflow.Active},
+		{ID: 4, DataCentre: "a", State: lhflow.Joining},
+		{ID: 5, DataCentre: "b", State: lhflow.Joining},
+	}
+	cases := []struct {
+		dataCentre string
+		count      int
+	}{{"a", 2}, {"b", 1}, {"c", 0}}
+	view := lhflow.NewView(1, 1, members)
+	for _, c := range cases {
+		assert.Equal(t, len(Watchers(view, c.dataCentre)), c.count)
+	}
+	// Without its first watcher a data centre keeps the second and gains another.
+	before := Watchers(view, "a")
+	members[before[0]-1].State = lhflow.Gone
+	after := Watchers(lhflow.NewView(2, 1, members), "a")
+	assert.Equal(t, after[0], before[1])
+	assert.Equal(t, len(after), 2)
+	assert.Assert(t, Watches(lhflow.NewView(1, 9, members)), "a VM that its view lacks")
+}
+
+func TestHistory(t *testing.T) {
+	s := &Snapshot{}
+	var h history
+	for range keptChanges + 5 {
+		next := s.successor("id", []FileText{{Name: "a", Text: s.position.String()}}, s.numbered())
+		s = &next
+		h = h.add(s)
+	}
+	assert.Equal(t, len(h), keptChanges)
+	cases := []struct {
+		have  uint64
+		links int
+	}{{0, 0}, {4, 0}, {5, keptChanges}, {s.position.Revision - 1, 1}, {s.position.Revision, 0}}
+	for _, c := range cases {
+		assert.Equal(t, len(h.since(c.have)), c.links)
+	}
+	big := make([]byte, inlineLimit+1)
+	bulk := s.successor("id", []FileText{{Name: "b", Text: string(big)}}, s.numbered())
+	assert.Equal(t, len(h.add(&bulk)), 0)
+	_, err := s.patch(bulk.manifest, bulk.position)
+	assert.Equal(t, lhcode.Of(err), lhcode.NotFound)
+}
--- /dev/null
+++ b/lhstore/runner_test.go
@@ -0,0 +1,155 @@
+package lhstore_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+)
+
+// vm is a Runner at work, with the revisions that it delivered.
+type vm struct {
+	*lhstore.Runner
+	delivered chan uint64
+}
+
+func startVM(t *testing.T, store lhstore.Watcher, watching bool) vm {
+	t.Helper()
+	v := vm{delivered: make(chan uint64, 1000)}
+	v.Runner = lhstore.NewRunner(store, checkLines,
+		func() bool { return watching }, func(c lhconf.Config) { v.delivered <- c.Revision })
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := v.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+	return v
+}
+
+// wait returns once the VM has a revision in force.
+func (v vm) wait(t *testing.T, revision uint64) {
+	t.Helper()
+	for last := uint64(0); last < revision; {
+		next := <-v.delivered
+		assert.Assert(t, next > last, "%d after %d", next, last)
+		last = next
+	}
+}
+
+// fetch takes what v lacks from another VM.
+func (v vm) fetch(t *testing.T, from vm) error {
+	t.Helper()
+	want := from.Position().Revision
+	revision, content, err := from.Content(t.Context(), v.Position().Revision, want)
+	assert.NilError(t, err)
+	return v.Accept(t.Context(), revision, content)
+}
+
+func TestRunnerFollows(t *testing.T) {
+	p, store := startPlatform(t)
+	v := startVM(t, store, true)
+	applyText(t, store, "", "1")
+	v.wait(t, 1)
+	// Each fault is met between two changes; the watch that waits is ended by it.
+	faults := []struct {
+		name    string
+		on, off func()
+	}{
+		{"ended watches", p.EndWatches, func() {}},
+		{"outage", func() { p.SetDown(true) }, func() { p.SetDown(false) }},
+		{"slowness", func() { p.SetDelay(20 * time.Millisecond) }, func() { p.SetDelay(0) }},
+		{"rate limit", func() { p.SetRate(1); p.EndWatches() }, func() { p.SetRate(0) }},
+	}
+	for i, f := range faults {
+		calls := p.Counts().Total()
+		f.on()
+		if f.name != "slowness" {
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if p.Counts().Total() > calls {
+					return poll.Success()
+				}
+				return poll.Continue("%s: no call yet", f.name)
+			}, poll.WithDelay(time.Millisecond))
+		}
+		f.off()
+		applyText(t, store, fmt.Sprint(i+1), fmt.Sprint(i+2))
+		poll.WaitOn(t, holds(v, uint64(i+2)), poll.WithDelay(time.Millisecond))
+	}
+}
+
+func holds(v vm, revision uint64) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if v.Position().Revision >= revision {
+			return poll.Success()
+		}
+		return poll.Continue("holds %v of %d", v.Position(), revision)
+	}
+}
+
+func TestJoinDuringOutage(t *testing.T) {
+	p, store := startPlatform(t)
+	old := startVM(t, store, true)
+	applyText(t, store, "", "x")
+	old.wait(t, 1)
+	p.SetDown(true)
+	joined := startVM(t, store, false)
+	assert.NilError(t, joined.fetch(t, old))
+	joined.wait(t, 1)
+	assert.DeepEqual(t, joined.Snapshot().Files(), old.Snapshot().Files())
+	assert.Equal(t, lhcode.Of(joined.fetch(t, old)), lhcode.RevisionLower)
+}
+
+func TestPeersChain(t *testing.T) {
+	_, store := startPlatform(t)
+	first, second := startVM(t, store, true), startVM(t, store, false)
+	for i := range 5 {
+		applyText(t, store, map[bool]string{true: fmt.Sprint(i)}[i > 0], fmt.Sprint(i+1))
+		first.wait(t, uint64(i+1))
+		if i%2 == 0 {
+			assert.NilError(t, second.fetch(t, first))
+			assert.Equal(t, second.Position(), first.Position())
+		}
+	}
+	_, _, err := second.Content(t.Context(), 0, 6)
+	assert.Equal(t, lhcode.Of(err), lhcode.NotFound)
+}
+
+// TestStoreReturnsOlder brings the store back to an older state under a VM, and
+// shows what the naive VM, which takes whatever the head says, would have done.
+func TestStoreReturnsOlder(t *testing.T) {
+	p, store := startPlatform(t)
+	applyText(t, store, "", "x")
+	backup := p.Backup()
+	v := startVM(t, store, true)
+	applyText(t, store, "x", "y")
+	poll.WaitOn(t, holds(v, 2), poll.WithDelay(time.Millisecond))
+	p.Restore(backup)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if v.State().Alarm == lhstore.AlarmStoreLower {
+			return poll.Success()
+		}
+		return poll.Continue("no alarm")
+	}, poll.WithDelay(time.Millisecond))
+	naive, err := lhstore.Open(t.Context(), store)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, naive.Files(), map[string]string{"a": "x"})
+	assert.DeepEqual(t, v.Snapshot().Files(), map[string]string{"a": "y"})
+
+	_, err = lhstore.Restore(t.Context(), store, "restore", v.Snapshot())
+	assert.NilError(t, err)
+	applyText(t, store, "y", "z")
+	poll.WaitOn(t, holds(v, 3), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, v.State().Alarm, lhstore.AlarmNone)
+}
+
+var _ lhstore.CompactStore = (*lhstore.Client)(nil)
+
+var _ lhstore.Watcher = (*lhstore.Client)(nil)
