lhwork: admit units of work and choose their servers

Admission counts the units in work between the opening of a flow and the first answer of its server, which is the server's queue as a VM sees it, and divides a small number of them per slot among the kinds. A limit on the rate of new flows was ruled out: it has to find the rate by overloading, and finds it again after each change.

--- /dev/null
+++ b/lhwork/controller.go
@@ -0,0 +1,208 @@
+package lhwork
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+)
+
+// Controller decides for one VM. The zero Controller knows no service and refuses
+// everything; its methods may be called from several threads.
+type Controller struct {
+	// mu is held while the table or the view changes.
+	mu     sync.Mutex
+	view   *lhflow.View
+	part   sharedPart
+	ledger Ledger
+	syns   prefixes
+	// state is never changed after it has been stored.
+	state atomic.Pointer[state]
+	// noService counts units for which no service is declared.
+	noService atomic.Uint64
+}
+
+// state is what the Controller finds pools and servers by.
+type state struct {
+	table *lhplace.Table
+	pools map[*lhplace.Service]*pool
+	// byName holds the same pools by the names of their services.
+	byName map[string]*pool
+	// servers holds all declared servers, and removed ones while flows are held.
+	servers map[uint32]*server
+}
+
+// sharedPart is a Part that several threads read.
+type sharedPart struct {
+	mu   sync.Mutex
+	part Part
+}
+
+func (s *sharedPart) read(now time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.part.Fraction(now)
+}
+
+func (s *sharedPart) see(now time.Duration, members int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.part.See(now, members)
+}
+
+// SetTable puts a table into force. Servers that come with it, or that take new
+// flows again, start slowly; those of the first table don't.
+func (c *Controller) SetTable(now time.Duration, table *lhplace.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.state.Load()
+	next := &state{
+		table:   table,
+		pools:   map[*lhplace.Service]*pool{},
+		byName:  map[string]*pool{},
+		servers: map[uint32]*server{},
+	}
+	if old != nil {
+		next.keepServers(old)
+	}
+	for _, s := range table.Services() {
+		p := old.pool(s.Name())
+		next.pools[s], next.byName[s.Name()] = p, p
+		p.set(now, s, old != nil, next.servers)
+		p.setPlan(c.view)
+	}
+	c.state.Store(next)
+}
+
+// SetView puts a view of the members into force. The lost are members that this
+// VM can't reach and that the platform has not said to be gone for good.
+func (c *Controller) SetView(now time.Duration, view *lhflow.View, lost []lhflow.MemberID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view = view
+	c.part.see(now, len(view.Members))
+	c.ledger.setMembers(now, view, lost)
+	s := c.state.Load()
+	if s == nil {
+		return
+	}
+	for _, p := range s.pools {
+		p.setPlan(view)
+	}
+}
+
+// Admit decides whether a unit may run. It counts nothing as held: an admitted
+// flow is reported by Opened.
+func (c *Controller) Admit(now time.Duration, u Unit) Decision {
+	s := c.state.Load()
+	service, ok := s.service(u.Key)
+	if !ok {
+		c.noService.Add(1)
+		return Decision{Reason: ReasonNoService}
+	}
+	p := s.pools[service]
+	if u.Identity == (Identity{}) {
+		return c.admit(now, u, p, service)
+	}
+	return c.ledger.once(now, u, func() Decision { return c.admit(now, u, p, service) })
+}
+
+// Choose returns the number of the backend server for a new flow, or false where
+// none may take it. It never returns one of those tried.
+func (c *Controller) Choose(now time.Duration, id lhflow.ID, key lhflow.Key, tried []uint32) (uint32, bool) {
+	s := c.state.Load()
+	service, ok := s.service(key)
+	if !ok {
+		return 0, false
+	}
+	p := s.pools[service]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(now, &c.part)
+	best := p.choose(now, id, tried)
+	if best == nil {
+		return 0, false
+	}
+	return best.declared.Number(), true
+}
+
+// Retry takes one retry out of the budget of the flow's service, and reports
+// whether there was one.
+func (c *Controller) Retry(key lhflow.Key) bool {
+	s := c.state.Load()
+	service, ok := s.service(key)
+	return ok && s.pools[service].budget.Take()
+}
+
+// HandshakeTimeout returns how long a half-open flow of the service may last. It
+// grows shorter as more flows are opened than completed.
+func (c *Controller) HandshakeTimeout(now time.Duration, key lhflow.Key) time.Duration {
+	s := c.state.Load()
+	service, ok := s.service(key)
+	if !ok {
+		return HandshakeLongest
+	}
+	p := s.pools[service]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handshakeTimeout(now)
+}
+
+func (c *Controller) admit(now time.Duration, u Unit, p *pool, service *lhplace.Service) Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(now, &c.part)
+	k := p.kind(0)
+	if d := service.KindOf(u.Key.Caller); d != nil {
+		k = p.kind(d.Number())
+	}
+	reason := c.reason(now, u, p, k)
+	if reason == ReasonNone {
+		k.admitted++
+		p.budget.First()
+	} else {
+		k.refused[reason]++
+	}
+	return Decision{Admitted: reason == ReasonNone, Kind: k.number(), Reason: reason}
+}
+
+func (c *Controller) reason(now time.Duration, u Unit, p *pool, k *kind) Reason {
+	switch {
+	case u.Deadline != 0 && now >= u.Deadline:
+		return ReasonDeadline
+	case c.syns.read(now, u.Key.Caller) >= max(p.halfOpenLimit()*prefixPart, prefixMin):
+		return ReasonHalfOpen
+	}
+	return p.admit(now, k)
+}
+
+func (s *state) service(key lhflow.Key) (*lhplace.Service, bool) {
+	if s == nil {
+		return nil, false
+	}
+	return s.table.Service(key)
+}
+
+// pool returns the pool of the service with a name, or a new one.
+func (s *state) pool(name string) *pool {
+	if s != nil {
+		if p, ok := s.byName[name]; ok {
+			return p
+		}
+	}
+	return &pool{}
+}
+
+// keepServers takes over the servers of old that still hold flows; those that are
+// still declared are entered again by their pools.
+func (s *state) keepServers(old *state) {
+	for number, server := range old.servers {
+		server.pool.mu.Lock()
+		if server.held > 0 {
+			s.servers[number] = server
+		}
+		server.pool.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/lhwork/declare.go
@@ -0,0 +1,118 @@
+package lhwork
+
+import (
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+)
+
+// set takes over what the table declares of the service, keeps what is known of
+// its kinds and servers, and enters the servers into byNumber.
+func (p *pool) set(now time.Duration, service *lhplace.Service, ramp bool, byNumber map[uint32]*server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service, p.stale = service, true
+	p.setKinds(service.Kinds())
+	p.setServers(now, service.Servers(), ramp)
+	for _, s := range p.servers {
+		byNumber[s.declared.Number()] = s
+	}
+}
+
+func (p *pool) setKinds(declared []*lhplace.Kind) {
+	known := make(map[uint16]*kind, len(p.kinds))
+	for _, k := range p.kinds {
+		known[k.number()] = k
+	}
+	p.kinds = p.kinds[:0:0]
+	for _, d := range declared {
+		k := known[d.Number()]
+		if k == nil {
+			k = &kind{}
+		}
+		k.declared = d
+		p.kinds = append(p.kinds, k)
+	}
+	rest := known[0]
+	if rest == nil {
+		rest = &kind{}
+	}
+	p.kinds = append(p.kinds, rest)
+	p.claims = make([]Claim, len(p.kinds))
+}
+
+func (p *pool) setServers(now time.Duration, declared []*lhplace.Server, ramp bool) {
+	known := make(map[uint32]*server, len(p.servers))
+	for _, s := range p.servers {
+		known[s.declared.Number()] = s
+	}
+	p.servers = p.servers[:0:0]
+	for _, d := range declared {
+		s := known[d.Number()]
+		restored := s != nil && !s.declared.Serving() && d.Serving()
+		if s == nil {
+			s = &server{pool: p}
+		}
+		if ramp && (s.declared == nil || restored) {
+			s.cold, s.started = true, now
+		}
+		s.declared = d
+		p.servers = append(p.servers, s)
+	}
+}
+
+// setPlan plans this VM's flows over the data centres of the servers.
+func (p *pool) setPlan(view *lhflow.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = true
+	sites, index := p.sites(view)
+	parts := lhplace.Plan(home(view), sites)
+	p.plan = make([]float64, len(p.servers))
+	for i, s := range p.servers {
+		site := index[s.declared.DataCentre()]
+		if sites[site].Weight > 0 {
+			p.plan[i] = parts[site] / sites[site].Weight
+		}
+	}
+}
+
+// sites returns the data centres of the servers and of the owners of flows, with
+// the index of each by its name.
+func (p *pool) sites(view *lhflow.View) (sites []lhplace.Site, index map[string]int) {
+	index = map[string]int{}
+	site := func(name string) *lhplace.Site {
+		i, ok := index[name]
+		if !ok {
+			i = len(sites)
+			index[name] = i
+			sites = append(sites, lhplace.Site{Name: name})
+		}
+		return &sites[i]
+	}
+	for _, s := range p.servers {
+		at := site(s.declared.DataCentre())
+		if s.declared.Serving() {
+			at.Weight += float64(s.declared.Weight())
+		}
+	}
+	if view == nil {
+		return sites, index
+	}
+	for _, m := range view.Members {
+		if m.State == lhflow.Active || m.State == lhflow.Leaving {
+			site(m.DataCentre).Owners++
+		}
+	}
+	return sites, index
+}
+
+// home returns the data centre of the VM itself.
+func home(view *lhflow.View) string {
+	if view == nil {
+		return ""
+	}
+	self, _ := view.Member(view.Self)
+	return self.DataCentre
+}
--- /dev/null
+++ b/lhwork/divide.go
@@ -0,0 +1,86 @@
+package lhwork
+
+// Claim is what one kind of work asks of a capacity.
+type Claim struct {
+	// Share is the guaranteed part, from 0 to 1.
+	Share float64
+	// Urgency orders the claims on what is left over.
+	Urgency uint8
+	// Want is how much of the capacity the kind would use.
+	Want float64
+	// Grant is the result: how much it may use.
+	Grant float64
+}
+
+// Divide sets the grant of each claim. Every claim is granted its want up to its
+// share. What is left goes to the most urgent claims first; claims of the same
+// urgency are filled evenly in proportion to their shares (max-min fair). The
+// grants add up to the capacity at most.
+func Divide(capacity float64, claims []Claim) {
+	left := capacity
+	for i := range claims {
+		c := &claims[i]
+		c.Grant = min(c.Want, c.Share*capacity)
+		left -= c.Grant
+	}
+	for left > 0 {
+		urgency, open := mostUrgent(claims)
+		if !open {
+			return
+		}
+		left = fill(left, urgency, claims)
+	}
+}
+
+// mostUrgent returns the highest urgency among the claims that want more.
+func mostUrgent(claims []Claim) (urgency uint8, open bool) {
+	for i := range claims {
+		c := &claims[i]
+		if c.wantsMore() && (!open || c.Urgency > urgency) {
+			urgency, open = c.Urgency, true
+		}
+	}
+	return urgency, open
+}
+
+// fill raises the claims of one urgency evenly until one of them has its want or
+// nothing is left, and returns what is left.
+func fill(left float64, urgency uint8, claims []Claim) float64 {
+	weights, step := 0.0, left
+	for i := range claims {
+		if c := &claims[i]; c.Urgency == urgency && c.wantsMore() {
+			weights += c.weight()
+		}
+	}
+	step /= weights
+	for i := range claims {
+		if c := &claims[i]; c.Urgency == urgency && c.wantsMore() {
+			step = min(step, (c.Want-c.Grant)/c.weight())
+		}
+	}
+	for i := range claims {
+		c := &claims[i]
+		if c.Urgency != urgency || !c.wantsMore() {
+			continue
+		}
+		raise := step * c.weight()
+		left -= raise
+		if c.Grant += raise; c.Want-c.Grant < grantGrain {
+			c.Grant = c.Want
+		}
+	}
+	if left < grantGrain {
+		return 0
+	}
+	return left
+}
+
+// grantGrain is the least difference that Divide tells apart.
+const grantGrain = 1e-9
+
+// claimWeightMin is the weight of a claim without a share.
+const claimWeightMin = 0.01
+
+func (c *Claim) wantsMore() bool { return c.Want > c.Grant }
+
+func (c *Claim) weight() float64 { return max(c.Share, claimWeightMin) }
--- /dev/null
+++ b/lhwork/event.go
@@ -0,0 +1,149 @@
+package lhwork
+
+import "time"
+
+// Opened reports that the SYN or first datagram of an admitted flow has gone to
+// its server.
+func (c *Controller) Opened(now time.Duration, f Flow) {
+	c.update(f, func(p *pool, s *server, k *kind) {
+		p.held++
+		s.held++
+		k.held++
+		s.opened++
+		s.sent(now)
+		p.load.opened(now)
+		s.load.opened(now)
+		k.load.opened(now)
+		p.opened.add(now, completionLifetime, 1)
+		p.halfOpen.add(now, HandshakeLongest, 1)
+		c.syns.add(now, f.Caller, 1)
+	})
+}
+
+// Adopted reports a flow that was handed over by another VM. Its phase is that in
+// the record; it counts as held and no more as in work.
+func (c *Controller) Adopted(f Flow) {
+	c.update(f, func(p *pool, s *server, k *kind) {
+		p.held++
+		s.held++
+		k.held++
+	})
+}
+
+// Answered reports the server's answer to a SYN, and the time that it took.
+func (c *Controller) Answered(now time.Duration, f Flow, after time.Duration) {
+	c.update(f, func(p *pool, s *server, _ *kind) {
+		s.unanswered, s.seen = 0, now
+		if after > slowAnswer {
+			s.failed(now)
+			p.stale = true
+		}
+	})
+}
+
+// Established reports that the caller has completed the handshake of a flow in
+// PhaseOpening, which is in PhaseWaiting from then on.
+func (c *Controller) Established(now time.Duration, f Flow) {
+	if f.Phase != PhaseOpening {
+		return
+	}
+	c.update(f, func(p *pool, s *server, k *kind) {
+		p.load.established(now)
+		s.load.established(now)
+		k.load.established(now)
+		p.completed.add(now, completionLifetime, 1)
+		c.handshakeOver(now, p, f)
+	})
+}
+
+// Served reports the server's first answer to the caller's data, and the time
+// that it took; 0 where that is not known. The flow is in PhaseServed from then on.
+func (c *Controller) Served(now time.Duration, f Flow, after time.Duration) {
+	if f.Phase == PhaseServed {
+		return
+	}
+	c.update(f, func(p *pool, s *server, k *kind) {
+		s.unanswered, s.seen = 0, now
+		c.leave(now, f, p, s, k)
+		if after > 0 {
+			p.limiter.answered(after)
+		}
+	})
+}
+
+// Closed reports the end of a flow, whoever ended it.
+func (c *Controller) Closed(now time.Duration, f Flow) {
+	c.update(f, func(p *pool, s *server, k *kind) { c.closed(now, f, p, s, k) })
+}
+
+// ServerReset reports that the server has reset a flow, which is closed with it.
+func (c *Controller) ServerReset(now time.Duration, f Flow) {
+	c.update(f, func(p *pool, s *server, k *kind) {
+		c.closed(now, f, p, s, k)
+		s.resets++
+		s.unanswered, s.seen = 0, now
+		s.failed(now)
+		p.stale = true
+	})
+}
+
+// Silent reports that the server has not answered the SYN of a flow, which is
+// closed with it.
+func (c *Controller) Silent(now time.Duration, f Flow) {
+	c.update(f, func(p *pool, s *server, k *kind) {
+		c.closed(now, f, p, s, k)
+		s.silent++
+		s.failed(now)
+		p.stale = true
+	})
+}
+
+// Report takes what a server reports of its load, from 0 for idle to 1 for full.
+// What this VM has seen lately goes before it; a contradiction is counted.
+func (c *Controller) Report(now time.Duration, number uint32, load float64) {
+	c.update(Flow{Server: number}, func(p *pool, s *server, _ *kind) {
+		if s.disagrees(now, load, p.fraction, p.completion(now)) {
+			s.disagreed++
+		}
+		s.report, s.reportAt = load, max(now, 1)
+	})
+}
+
+// update runs change on the flow's pool, server and kind under the pool's lock.
+// Events of a server that is declared no more and holds no flows are void.
+func (c *Controller) update(f Flow, change func(*pool, *server, *kind)) {
+	st := c.state.Load()
+	if st == nil {
+		return
+	}
+	s, ok := st.servers[f.Server]
+	if !ok {
+		return
+	}
+	p := s.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p, s, p.kind(f.Kind))
+}
+
+// leave ends the flow's phase of opening or waiting.
+func (c *Controller) leave(now time.Duration, f Flow, p *pool, s *server, k *kind) {
+	p.load.left(now, f.Phase)
+	s.load.left(now, f.Phase)
+	k.load.left(now, f.Phase)
+	if f.Phase == PhaseOpening {
+		c.handshakeOver(now, p, f)
+	}
+}
+
+func (c *Controller) handshakeOver(now time.Duration, p *pool, f Flow) {
+	p.halfOpen.add(now, HandshakeLongest, -1)
+	c.syns.add(now, f.Caller, -1)
+}
+
+func (c *Controller) closed(now time.Duration, f Flow, p *pool, s *server, k *kind) {
+	c.leave(now, f, p, s, k)
+	p.held = max(p.held-1, 0)
+	s.held = max(s.held-1, 0)
+	k.held = max(k.held-1, 0)
+}
--- /dev/null
+++ b/lhwork/kind.go
@@ -0,0 +1,62 @@
+package lhwork
+
+import (
+	"math"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+)
+
+// demandLifetime is the time over which the demand of a kind is counted.
+const demandLifetime = 200 * time.Millisecond
+
+// kind is what this VM knows of a kind of work. The pool's lock guards it.
+type kind struct {
+	// declared is nil for the units of a service that no declared kind takes in.
+	declared *lhplace.Kind
+	// held is the number of flows of the kind that are not closed.
+	held int
+	load load
+	// offered counts the units that asked for admission.
+	offered gauge
+	// grant is how many units the kind may have in work on average at present.
+	grant float64
+
+	// The counters only ever grow.
+	admitted uint64
+	refused  [ReasonCount]uint64
+}
+
+func (k *kind) number() uint16 {
+	if k.declared == nil {
+		return 0
+	}
+	return k.declared.Number()
+}
+
+func (k *kind) share() float64 {
+	if k.declared == nil {
+		return 0
+	}
+	return k.declared.Share()
+}
+
+func (k *kind) urgency() uint8 {
+	if k.declared == nil {
+		return 0
+	}
+	return uint8(k.declared.Urgency())
+}
+
+// full reports whether the kind holds its part of the flows declared for it.
+func (k *kind) full(fraction float64) bool {
+	if k.declared == nil || k.declared.Flows() == 0 {
+		return false
+	}
+	return k.held >= partOf(k.declared.Flows(), fraction)
+}
+
+// partOf returns a part of a limit, rounded up.
+func partOf(limit uint32, fraction float64) int {
+	return int(math.Ceil(float64(limit)*fraction - 1e-9))
+}
--- /dev/null
+++ b/lhwork/pool.go
@@ -0,0 +1,199 @@
+package lhwork
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+)
+
+const (
+	// refreshPeriod is the time between two looks at weights, limits and grants.
+	refreshPeriod = 20 * time.Millisecond
+	// halfOpenPart is the part of the flows that may be half-open.
+	halfOpenPart = 0.25
+	// halfOpenMin is the least limit of half-open flows.
+	halfOpenMin = 256
+	// completionLifetime is the time over which completed handshakes are counted.
+	completionLifetime = time.Second
+	// answerUnknown stands for the answer time until one was seen.
+	answerUnknown = 50 * time.Millisecond
+)
+
+// pool is the capacity of one service, as far as it is this VM's, with the kinds
+// of work that share it. The lock guards all that follows it.
+type pool struct {
+	mu      sync.Mutex
+	service *lhplace.Service
+	// kinds are the declared ones, and last the one of all other units.
+	kinds []*kind
+	// servers are in the order of the service's list.
+	servers []*server
+	// plan is the part of this VM's flows for each server's data centre.
+	plan []float64
+
+	load    load
+	limiter limiter
+	budget  Budget
+	// opened and completed count handshakes that began and that were completed.
+	opened, completed gauge
+	// halfOpen is the number of handshakes under way.
+	halfOpen gauge
+
+	// fraction is this VM's part of the limits.
+	fraction float64
+	// workLimit is how many units may be in work on average, and slots is this
+	// VM's part of the slots.
+	workLimit, slots float64
+	// flowLimit is how many flows may be held; held is how many are.
+	flowLimit, held int
+	// refreshed is when the values from fraction to flowLimit were computed; stale
+	// is set when they must be computed again at once.
+	refreshed time.Duration
+	stale     bool
+	// claims is kept for Divide from one refresh to the next.
+	claims []Claim
+}
+
+// admit decides on a unit of kind k.
+func (p *pool) admit(now time.Duration, k *kind) Reason {
+	k.offered.add(now, demandLifetime, 1)
+	switch {
+	case p.halfOpen.read(now, HandshakeLongest) >= p.halfOpenLimit():
+		return ReasonHalfOpen
+	case k.full(p.fraction):
+		return ReasonKindFlows
+	case !p.hasFlows(k):
+		return ReasonFlows
+	case !p.hasWork(now, k):
+		p.limiter.refused = true
+		return ReasonWork
+	}
+	return ReasonNone
+}
+
+// hasFlows reports whether another flow of kind k may be held. Flows can last, so
+// room is lent only beyond what the other kinds' shares still need.
+func (p *pool) hasFlows(k *kind) bool {
+	limit := float64(p.flowLimit)
+	if float64(k.held) < k.share()*limit {
+		return p.held < p.flowLimit
+	}
+	reserved := 0.0
+	for _, other := range p.kinds {
+		if other != k {
+			reserved += max(other.share()*limit-float64(other.held), 0)
+		}
+	}
+	return float64(p.held)+reserved < limit
+}
+
+// hasWork reports whether another unit of kind k may be in work: it is within the
+// kind's share, or there is capacity left to lend that the kind may take.
+func (p *pool) hasWork(now time.Duration, k *kind) bool {
+	completed := p.completion(now)
+	mean, current := k.load.observe(now, completed)
+	if within(mean, current, k.share()*p.workLimit) {
+		return true
+	}
+	all, allCurrent := p.load.observe(now, completed)
+	return mean < k.grant && within(all, allCurrent, p.workLimit)
+}
+
+// within holds the mean below a limit and the current value below what the limit
+// plus chance explain.
+func within(mean, current, limit float64) bool {
+	return mean < limit && current < limit+burst(limit)
+}
+
+// burst returns how far a count with a mean of x may go above it by chance.
+func burst(x float64) float64 { return 2*math.Sqrt(x) + 1 }
+
+// completion returns the part of handshakes that are completed.
+func (p *pool) completion(now time.Duration) float64 {
+	done := p.completed.read(now, completionLifetime) + 1
+	return min(done/(p.opened.read(now, completionLifetime)+1), 1)
+}
+
+func (p *pool) halfOpenLimit() float64 {
+	return max(halfOpenPart*float64(p.flowLimit), halfOpenMin)
+}
+
+// kind returns the kind with a number; that of all other units where it is gone.
+func (p *pool) kind(number uint16) *kind {
+	for _, k := range p.kinds {
+		if k.number() == number {
+			return k
+		}
+	}
+	return p.kinds[len(p.kinds)-1]
+}
+
+// refresh computes weights, limits and grants once a period.
+func (p *pool) refresh(now time.Duration, part *sharedPart) {
+	if !p.stale && p.refreshed != 0 && now-p.refreshed < refreshPeriod {
+		return
+	}
+	p.refreshed, p.stale = max(now, 1), false
+	p.fraction = part.read(now)
+	p.weigh(now)
+	p.limits(now)
+	p.grants(now)
+}
+
+// weigh computes the weights of the servers and their parts of the plan.
+func (p *pool) weigh(now time.Duration) {
+	sum := 0.0
+	for i, s := range p.servers {
+		s.weigh(now)
+		s.part = s.room * p.plan[i]
+		sum += s.part
+	}
+	if sum == 0 {
+		return
+	}
+	for _, s := range p.servers {
+		s.part /= sum
+	}
+}
+
+// limits computes the limits of units in work and of flows.
+func (p *pool) limits(now time.Duration) {
+	work, slots := 0.0, 0.0
+	p.flowLimit = 0
+	for _, s := range p.servers {
+		s.limit = math.MaxInt32
+		if s.declared.Flows() > 0 {
+			s.limit = partOf(s.declared.Flows(), p.fraction)
+		}
+		if s.declared.Serving() {
+			work += s.work(now)
+			slots += float64(s.declared.Slots())
+			p.flowLimit += s.limit
+		}
+	}
+	p.slots = slots * p.fraction
+	mean, _ := p.load.observe(now, p.completion(now))
+	p.limiter.adjust(now, mean/max(p.slots, 1e-9))
+	p.workLimit = work * p.fraction * p.limiter.scale()
+}
+
+// grants divides the limit of units in work among the kinds by their demand.
+func (p *pool) grants(now time.Duration) {
+	answer := p.limiter.answer
+	if answer == 0 {
+		answer = answerUnknown
+	}
+	wanted := 0.0
+	for i, k := range p.kinds {
+		want := k.offered.rate(now, demandLifetime) * answer.Seconds()
+		p.claims[i] = Claim{Share: k.share(), Urgency: k.urgency(), Want: want}
+		wanted += want
+	}
+	Divide(p.workLimit, p.claims)
+	idle := max(p.workLimit-wanted, 0)
+	for i, k := range p.kinds {
+		k.grant = p.claims[i].Grant + idle
+	}
+}
--- /dev/null
+++ b/lhwork/prefix.go
@@ -0,0 +1,73 @@
+package lhwork
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+)
+
+const (
+	// HandshakeLongest is how long a half-open flow may last where there are few.
+	HandshakeLongest = 10 * time.Second
+	// HandshakeShortest is how long one may last however many there are.
+	HandshakeShortest = 100 * time.Millisecond
+	// prefixPart is the part of the half-open flows that callers of one prefix may
+	// have.
+	prefixPart = 1.0 / 8
+	// prefixMin is the least limit of half-open flows of one prefix.
+	prefixMin = 64
+
+	prefixShards = 64
+	prefixSlots  = 64
+)
+
+// prefixes counts half-open flows by caller prefix: 24 bits of IPv4, 48 of IPv6.
+// Prefixes with the same hash count together. The zero prefixes is empty.
+type prefixes struct {
+	shards [prefixShards]prefixShard
+}
+
+type prefixShard struct {
+	mu    sync.Mutex
+	slots [prefixSlots]gauge
+}
+
+func (p *prefixes) read(now time.Duration, caller [16]byte) float64 {
+	shard, slot := p.at(caller)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	return shard.slots[slot].read(now, HandshakeLongest)
+}
+
+func (p *prefixes) add(now time.Duration, caller [16]byte, delta float64) {
+	shard, slot := p.at(caller)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.slots[slot].add(now, HandshakeLongest, delta)
+}
+
+func (p *prefixes) at(caller [16]byte) (shard *prefixShard, slot int) {
+	h := prefixHash(caller)
+	return &p.shards[h%prefixShards], int(h / prefixShards % prefixSlots)
+}
+
+func prefixHash(caller [16]byte) uint64 {
+	prefix := binary.BigEndian.Uint64(caller[:8]) >> 16
+	if prefix == 0 {
+		// An IPv4 address in its mapped form stands in the last four bytes.
+		prefix = uint64(binary.BigEndian.Uint32(caller[12:]) >> 8)
+	}
+	prefix *= 0x9e3779b97f4a7c15
+	return prefix ^ prefix>>32
+}
+
+// handshakeTimeout lets half-open flows last as long as their rate leaves half of
+// their limit free.
+func (p *pool) handshakeTimeout(now time.Duration) time.Duration {
+	rate := p.opened.rate(now, completionLifetime)
+	if rate == 0 {
+		return HandshakeLongest
+	}
+	fill := time.Duration(p.halfOpenLimit() / 2 / rate * float64(time.Second))
+	return min(max(fill, HandshakeShortest), HandshakeLongest)
+}
--- /dev/null
+++ b/lhwork/snapshot.go
@@ -0,0 +1,143 @@
+package lhwork
+
+import "time"
+
+// Snapshot is what a Controller says of itself in a state dump.
+type Snapshot struct {
+	// Part is this VM's part of every limit, from 0 to 1.
+	Part float64 `json:"part"`
+	// NoService counts units for which no service is declared.
+	NoService uint64            `json:"noservice"`
+	Services  []ServiceSnapshot `json:"services"`
+}
+
+// ServiceSnapshot is one service; its limits are this VM's part.
+type ServiceSnapshot struct {
+	Name string `json:"name"`
+	// Work is the mean number of units in work, and WorkLimit its limit.
+	Work      float64 `json:"work"`
+	WorkLimit float64 `json:"worklimit"`
+	// Scale is the factor that the limit has been adapted by.
+	Scale float64 `json:"scale"`
+	// Answer is the mean time of first answers, Unloaded that of idle servers.
+	Answer    time.Duration `json:"answer"`
+	Unloaded  time.Duration `json:"unloaded"`
+	Held      int           `json:"held"`
+	FlowLimit int           `json:"flowlimit"`
+	HalfOpen  float64       `json:"halfopen"`
+	// Retries counts the retries taken out of the budget.
+	Retries uint64           `json:"retries"`
+	Kinds   []KindSnapshot   `json:"kinds"`
+	Servers []ServerSnapshot `json:"servers"`
+}
+
+// KindSnapshot is one kind of work; that of all other units has no name.
+type KindSnapshot struct {
+	Name   string  `json:"name"`
+	Number uint16  `json:"number"`
+	Share  float64 `json:"share"`
+	// Work is the mean number of units in work, and Grant what it may be.
+	Work     float64 `json:"work"`
+	Grant    float64 `json:"grant"`
+	Held     int     `json:"held"`
+	Admitted uint64  `json:"admitted"`
+	// Refused counts refused units by the name of the reason.
+	Refused map[string]uint64 `json:"refused,omitempty"`
+}
+
+// ServerSnapshot is one backend server.
+type ServerSnapshot struct {
+	Number uint32 `json:"number"`
+	Name   string `json:"name"`
+	Held   int    `json:"held"`
+	Limit  int    `json:"limit"`
+	// Part is the part of this VM's new flows that the server gets.
+	Part float64 `json:"part"`
+	// Warmth is below 1 during slow start, Health after failures.
+	Warmth float64 `json:"warmth"`
+	Health float64 `json:"health"`
+	Opened uint64  `json:"opened"`
+	Resets uint64  `json:"resets"`
+	Silent uint64  `json:"silent"`
+	// Disagreed counts reports that contradict what was seen.
+	Disagreed uint64 `json:"disagreed"`
+}
+
+// Snapshot returns the state at now. Each service is consistent in itself.
+func (c *Controller) Snapshot(now time.Duration) Snapshot {
+	snap := Snapshot{Part: c.part.read(now), NoService: c.noService.Load()}
+	s := c.state.Load()
+	if s == nil {
+		return snap
+	}
+	for _, service := range s.table.Services() {
+		snap.Services = append(snap.Services, s.pools[service].snapshot(now, &c.part))
+	}
+	return snap
+}
+
+func (p *pool) snapshot(now time.Duration, part *sharedPart) ServiceSnapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refresh(now, part)
+	mean, _ := p.load.observe(now, p.completion(now))
+	snap := ServiceSnapshot{
+		Name:      p.service.Name(),
+		Work:      mean,
+		WorkLimit: p.workLimit,
+		Scale:     p.limiter.scale(),
+		Answer:    p.limiter.answer,
+		Unloaded:  p.limiter.unloaded,
+		Held:      p.held,
+		FlowLimit: p.flowLimit,
+		HalfOpen:  p.halfOpen.read(now, HandshakeLongest),
+		Retries:   p.budget.Taken(),
+	}
+	for _, k := range p.kinds {
+		snap.Kinds = append(snap.Kinds, k.snapshot())
+	}
+	for _, s := range p.servers {
+		snap.Servers = append(snap.Servers, s.snapshot(now))
+	}
+	return snap
+}
+
+func (k *kind) snapshot() KindSnapshot {
+	snap := KindSnapshot{
+		Number:   k.number(),
+		Share:    k.share(),
+		Work:     k.load.mean.value,
+		Grant:    k.grant,
+		Held:     k.held,
+		Admitted: k.admitted,
+	}
+	if k.declared != nil {
+		snap.Name = k.declared.Name()
+	}
+	for reason, n := range k.refused {
+		if n == 0 {
+			continue
+		}
+		if snap.Refused == nil {
+			snap.Refused = map[string]uint64{}
+		}
+		snap.Refused[Reason(reason).String()] = n
+	}
+	return snap
+}
+
+func (s *server) snapshot(now time.Duration) ServerSnapshot {
+	return ServerSnapshot{
+		Number:    s.declared.Number(),
+		Name:      s.declared.Name(),
+		Held:      s.held,
+		Limit:     s.limit,
+		Part:      s.part,
+		Warmth:    s.warmth(now),
+		Health:    s.healthy(now),
+		Opened:    s.opened,
+		Resets:    s.resets,
+		Silent:    s.silent,
+		Disagreed: s.disagreed,
+	}
+}
