lhpeer: keep the membership of a group and carry it between nodes

Membership decides from plain values: who is joining, active, leaving, suspected, unreachable or dead. Node carries its messages over HTTP/2 in clear text and counts every byte that it writes against the budget.

--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -48,6 +48,13 @@
 	LeaseLost Code = 205
 	// NotFound is a key, server or revision that does not exist.
 	NotFound Code = 206
+
+	// PeerUnreachable is a peer that gave no answer in time.
+	PeerUnreachable Code = 601
+	// PeerUnknown is a member that this VM does not know.
+	PeerUnknown Code = 602
+	// PeerReplaced is a member whose VM has since been started anew.
+	PeerReplaced Code = 603
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
--- a/lhpeer/doc.go
+++ b/lhpeer/doc.go
@@ -27,11 +27,11 @@
 // Membership takes all of these decisions as plain values, with time and
 // randomness passed in:
 //
-//	m := lhpeer.NewMembership(self, contacts, timing, rng)
+//	m := lhpeer.Join(now, self, contacts, timing, rng)
 //	for _, r := range m.Tick(now) { // send r.Message to r.Control
 //	}
 //	reply, probe := m.Receive(now, message)
-//	probes := m.Answered(now, request, reply) // or m.Failed(now, request)
+//	m.Answered(now, request, reply) // or send what m.Failed(now, request) returns
 //	view := m.View()
 //
 // Node carries the messages between the memberships of a group by connect-go
--- a/lhpeer/entry.go
+++ b/lhpeer/entry.go
@@ -65,6 +65,8 @@
 	probed time.Duration
 	// unreachable is set once the suspicion has stood for Timing.Suspect.
 	unreachable bool
+	// confirmed is since when an unreachable member would count as dead.
+	confirmed time.Duration
 	// received is set once the member has handed over to this VM.
 	received bool
 	// released is set once this VM has handed over to the member.
--- /dev/null
+++ b/lhpeer/node.go
@@ -0,0 +1,346 @@
+package lhpeer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhpeer/lhpeerv1"
+)
+
+const (
+	// ticksPerPeriod is how often a node looks for due decisions in a period.
+	ticksPerPeriod = 10
+	// stopTimeout limits how long a node that ends waits for its server.
+	stopTimeout = time.Second
+	// headerTimeout limits how long a peer may take to send a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// Records takes in the records of flows that other members hand over.
+type Records interface {
+	Take(from lhflow.MemberID, batch []lhflow.Record)
+}
+
+// Configs is the configuration in force on this VM.
+type Configs interface {
+	// Revision returns what is in force; the zero Revision before there is any.
+	Revision() Revision
+	// Content returns what a VM that has one revision needs to get to another
+	// or a later one: a difference or the whole, as Accept understands it.
+	Content(ctx context.Context, have, want uint64) (revision uint64, content []byte, err error)
+	// Accept puts content of a peer in force if its revision is higher.
+	Accept(ctx context.Context, revision uint64, content []byte) error
+}
+
+// Settings are what a Node is made of. Zero fields stand for defaults, or for
+// something that the node does without.
+type Settings struct {
+	// Self describes this VM. Its ID and state are chosen by the node; a Control
+	// port of 0 is replaced by the one that the system gives.
+	Self lhflow.Member
+	// Contacts are control addresses of some members of the group.
+	Contacts []netip.AddrPort
+	Timing   Timing
+	// Budget limits control traffic in bytes per second; 0 is DefaultBudget.
+	Budget int
+	// Records is nil where a VM has nothing to hand over; the node then says so
+	// itself to each member that joins.
+	Records Records
+	Configs Configs
+	// Clock returns the VM's monotonic time; nil counts from the start of the node.
+	Clock func() time.Duration
+	Log   zerolog.Logger
+}
+
+// Node takes part in a group on behalf of a VM.
+type Node struct {
+	settings  Settings
+	budget    *budget
+	transport *transport
+	onView    []func(*lhflow.View)
+	// shown is the view that onView was last called with; only loop uses it.
+	shown *lhflow.View
+	// view is the newest, for readers that take no lock.
+	view atomic.Pointer[lhflow.View]
+	// wake asks loop to look for due decisions at once.
+	wake chan struct{}
+	// ends receives one value at the end of each goroutine that loop has started.
+	ends   chan end
+	counts nodeCounts
+
+	// mu guards the fields below.
+	mu     sync.Mutex
+	member *Membership
+	// newer is where a higher revision was seen; its zero value when nowhere.
+	newer source
+	// fetching is set while a fetch runs.
+	fetching bool
+	// excusing holds the members that are being told that there is nothing to
+	// hand over.
+	excusing map[lhflow.MemberID]bool
+}
+
+// end is what a goroutine of a node leaves behind.
+type end struct {
+	// requests are to be sent next.
+	requests []Request
+}
+
+// NewNode returns a node that takes part once Run has been called.
+func NewNode(s Settings) *Node {
+	s.Timing = s.Timing.filled()
+	if s.Clock == nil {
+		started := time.Now()
+		s.Clock = func() time.Duration { return time.Since(started) }
+	}
+	b := newBudget(s.Budget)
+	return &Node{
+		settings:  s,
+		budget:    b,
+		transport: newTransport(b),
+		wake:      make(chan struct{}, 1),
+		ends:      make(chan end),
+		member:    &Membership{},
+		excusing:  make(map[lhflow.MemberID]bool),
+	}
+}
+
+// OnView has f called with each new view, one after the other. It is to be
+// called before Run.
+func (n *Node) OnView(f func(*lhflow.View)) { n.onView = append(n.onView, f) }
+
+// Run joins the group and takes part until ctx ends. The channel receives one
+// value, the error that ended the node, nil if it was ctx.
+func (n *Node) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	listener, err := net.Listen("tcp", n.settings.Self.Control.String())
+	if err != nil {
+		done <- lhcode.Wrap(lhcode.PeerUnreachable, err, "listening for peers")
+		return done
+	}
+	n.settings.Self.Control = listener.Addr().(*net.TCPAddr).AddrPort()
+	n.mu.Lock()
+	contacts := slices.Clone(n.settings.Contacts)
+	n.mu.Unlock()
+	n.join(0, contacts)
+	go func() { done <- n.run(ctx, listener) }()
+	return done
+}
+
+// run serves peers and takes decisions until ctx ends or the server fails.
+func (n *Node) run(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	server := n.server()
+	served := make(chan error, 1)
+	go func() {
+		served <- server.Serve(&countedListener{Listener: listener, budget: n.budget})
+		cancel()
+	}()
+	n.loop(ctx)
+	stopping, stop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer stop()
+	// A peer that keeps its request open past the timeout is cut off.
+	if server.Shutdown(stopping) != nil {
+		_ = server.Close()
+	}
+	n.transport.close()
+	if err := <-served; err != http.ErrServerClosed {
+		return lhcode.Wrap(lhcode.PeerUnreachable, err, "serving peers")
+	}
+	return nil
+}
+
+func (n *Node) server() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(lhpeerv1.NewPeerServiceHandler(&handler{node: n}, connect.WithCompression("gzip", nil, nil)))
+	return &http.Server{
+		Handler:           mux,
+		Protocols:         cleartextHTTP2(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       2 * idleTimeout,
+	}
+}
+
+// join begins to take part under a new ID that is higher than after.
+func (n *Node) join(after lhflow.MemberID, contacts []netip.AddrPort) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	self := n.settings.Self
+	self.ID = NewMemberID(time.Now(), after, rng)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.member = Join(n.settings.Clock(), self, contacts, n.settings.Timing, rng)
+	n.view.Store(n.member.View())
+}
+
+// loop takes decisions as they become due, and ends when ctx has and all that
+// it has started.
+func (n *Node) loop(ctx context.Context) {
+	ticker := time.NewTicker(n.settings.Timing.Period / ticksPerPeriod)
+	defer ticker.Stop()
+	running := 0
+	for ctx.Err() == nil {
+		running += n.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-n.wake:
+		case e := <-n.ends:
+			running--
+			running += n.start(ctx, e.requests)
+		}
+	}
+	for ; running > 0; running-- {
+		<-n.ends
+	}
+}
+
+// step takes the decisions that are due and returns how many goroutines it has started.
+func (n *Node) step(ctx context.Context) int {
+	n.mu.Lock()
+	if n.settings.Configs != nil {
+		n.member.SetRevision(n.settings.Configs.Revision())
+	}
+	requests := n.member.Tick(n.settings.Clock())
+	lost := n.member.Lost()
+	n.mu.Unlock()
+	if lost {
+		n.rejoin()
+	}
+	n.show()
+	return n.start(ctx, requests) + n.startFetch(ctx) + n.startExcuses(ctx)
+}
+
+// rejoin takes part under a new ID after the group has gone on without this VM.
+func (n *Node) rejoin() {
+	n.mu.Lock()
+	old := n.member.Self().ID
+	contacts := slices.Clone(n.settings.Contacts)
+	for _, e := range n.member.Peers() {
+		if !e.final() {
+			contacts = append(contacts, e.Control)
+		}
+	}
+	n.mu.Unlock()
+	n.counts.rejoins.Add(1)
+	n.settings.Log.Warn().Uint64("member", uint64(old)).Msg("peers hold this member dead; joining anew")
+	n.join(old, contacts)
+}
+
+// show calls the functions of OnView if there is a new view.
+func (n *Node) show() {
+	n.mu.Lock()
+	v := n.member.View()
+	n.mu.Unlock()
+	if v == n.shown {
+		return
+	}
+	n.shown = v
+	n.view.Store(v)
+	n.settings.Log.Info().Uint64("view", v.Version).Int("members", len(v.Members)).Msg("view changed")
+	for _, f := range n.onView {
+		f(v)
+	}
+}
+
+// start sends requests, each in a goroutine, and returns their number.
+func (n *Node) start(ctx context.Context, requests []Request) int {
+	for _, r := range requests {
+		go func() { n.ends <- end{requests: n.exchange(ctx, r, n.settings.Timing.Probe)} }()
+	}
+	return len(requests)
+}
+
+// exchange sends a request, takes in how it ended and returns what to send next.
+func (n *Node) exchange(ctx context.Context, r Request, timeout time.Duration) []Request {
+	reply, err := n.send(ctx, r, timeout)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.settings.Clock()
+	if err != nil {
+		return n.member.Failed(now, r)
+	}
+	n.member.Answered(now, r, reply)
+	n.notice(reply, r.Control)
+	return nil
+}
+
+// send sends a request and returns its answer.
+func (n *Node) send(ctx context.Context, r Request, timeout time.Duration) (Message, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := connect.NewRequest(&lhpeerv1.ExchangeRequest{Message: encodeMessage(r.Message)})
+	response, err := n.transport.client(r.Control).Exchange(ctx, request)
+	if err != nil {
+		n.transport.drop(r.Control)
+		return Message{}, lhcode.Wrap(lhcode.PeerUnreachable, err, "exchange")
+	}
+	return decodeMessage(response.Msg.GetMessage()), nil
+}
+
+// nudge has loop look for due decisions.
+func (n *Node) nudge() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// View returns the newest view; nil before Run.
+func (n *Node) View() *lhflow.View { return n.view.Load() }
+
+// Unreachable returns the members that can't be reached but may come back, with
+// times of Settings.Clock.
+func (n *Node) Unreachable() []Absence {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.member.Unreachable()
+}
+
+// Listed adds control addresses that the platform lists.
+func (n *Node) Listed(contacts []netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.settings.Contacts = append(n.settings.Contacts, contacts...)
+	n.member.Listed(contacts)
+}
+
+// Leave begins a planned stop: the VM goes on owning its flows until Left.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.member.Leave()
+	n.mu.Unlock()
+	n.nudge()
+}
+
+// Left ends a planned stop, once the VM has handed over, and returns when it has
+// told some members. The node goes on answering until the context of Run ends.
+func (n *Node) Left(ctx context.Context) {
+	n.mu.Lock()
+	n.member.Left()
+	requests := n.member.Farewell()
+	n.mu.Unlock()
+	told := make(chan struct{})
+	for _, r := range requests {
+		go func() {
+			n.exchange(ctx, r, n.settings.Timing.Probe)
+			told <- struct{}{}
+		}()
+	}
+	for range requests {
+		<-told
+	}
+	n.nudge()
+}
--- /dev/null
+++ b/lhpeer/transport.go
@@ -0,0 +1,114 @@
+package lhpeer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/laburnumhollow/laburnumhollow/lhpeer/lhpeerv1"
+)
+
+const (
+	// idleTimeout is how long a connection to a peer is kept without use.
+	idleTimeout = 30 * time.Second
+	// dialTimeout limits the opening of a connection.
+	dialTimeout = time.Second
+)
+
+// transport holds the connections of a VM to its peers.
+type transport struct {
+	budget *budget
+	http   *http.Transport
+	dialer net.Dialer
+
+	mu sync.Mutex
+	// conns holds the open connections by the address of the peer.
+	conns map[string]map[net.Conn]struct{}
+}
+
+// cleartextHTTP2 returns the one protocol that peers speak.
+func cleartextHTTP2() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+func newTransport(b *budget) *transport {
+	t := &transport{
+		budget: b,
+		dialer: net.Dialer{Timeout: dialTimeout},
+		conns:  make(map[string]map[net.Conn]struct{}),
+	}
+	t.http = &http.Transport{
+		DialContext:     t.dial,
+		Protocols:       cleartextHTTP2(),
+		IdleConnTimeout: idleTimeout,
+	}
+	return t
+}
+
+// client returns a client of the peer at a control address.
+func (t *transport) client(control netip.AddrPort) lhpeerv1.PeerServiceClient {
+	return lhpeerv1.NewPeerServiceClient(
+		&http.Client{Transport: t.http},
+		"http://"+control.String(),
+		connect.WithAcceptCompression("gzip", nil, nil),
+	)
+}
+
+// dial opens a connection that is counted and can be dropped.
+func (t *transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := t.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: &countedConn{Conn: c, budget: t.budget}, owner: t, address: address}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns[address] == nil {
+		t.conns[address] = make(map[net.Conn]struct{})
+	}
+	t.conns[address][tracked] = struct{}{}
+	return tracked, nil
+}
+
+// drop closes the connections to a peer that did not answer. After a cut a new
+// connection works at once, where the old one waits for its retransmission timer.
+func (t *transport) drop(control netip.AddrPort) {
+	t.mu.Lock()
+	var conns []net.Conn
+	for c := range t.conns[control.String()] {
+		conns = append(conns, c)
+	}
+	t.mu.Unlock()
+	for _, c := range conns {
+		// The connection is given up, so how its end went does not matter.
+		_ = c.Close()
+	}
+}
+
+// close ends all connections.
+func (t *transport) close() { t.http.CloseIdleConnections() }
+
+// trackedConn leaves the transport's list when it is closed.
+type trackedConn struct {
+	net.Conn
+	owner   *transport
+	address string
+}
+
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns[c.address], c)
+	if len(c.owner.conns[c.address]) == 0 {
+		delete(c.owner.conns, c.address)
+	}
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
