--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -50,6 +50,13 @@
 	NotFound Code = 206
 	// PreconditionFailed is a conditional write to a key that had changed meanwhile.
 	PreconditionFailed Code = 207
+
+	// PeerUnreachable is a peer that gave no answer in time.
+	PeerUnreachable Code = 601
+	// PeerUnknown is a member that this VM does not know.
+	PeerUnknown Code = 602
+	// PeerReplaced is a member whose VM has since been started anew.
+	PeerReplaced Code = 603
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
