lhconf: merge a folder of small files and number backend servers

Teams edit separate files of one fleet, so a fault has to name the file and line that caused it and what a later file replaced. A server address may be declared once only, also behind different services, since VMs tell servers apart by the address that packets come from. A server that two files put behind different services is refused: merging them would hide one team's server.

Assign gives a number to one server at one address behind one service for ever; a property test holds it against a record of every number given.

State is written as text in JSON. Examples for both deployments are held by tests.

--- a/lhconf/config.go
+++ b/lhconf/config.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
 )
 
@@ -25,6 +26,22 @@
 	return "serving"
 }
 
+// MarshalText returns the word used in configuration files.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads the word used in configuration files.
+func (s *State) UnmarshalText(text []byte) error {
+	switch string(text) {
+	case "serving":
+		*s = Serving
+	case "draining":
+		*s = Draining
+	default:
+		return lhcode.Newf(lhcode.SettingInvalid, "state %q is neither serving nor draining", text)
+	}
+	return nil
+}
+
 // Service is an address, port and protocol that callers connect to.
 type Service struct {
 	Name    string         `json:"name"`
--- a/lhconf/field.go
+++ b/lhconf/field.go
@@ -282,12 +282,13 @@
 	return field[T]{}, false
 }
 
-// fill sets the fields of t from the statements of one section and reports each
-// statement that is unknown or wrong, and each required key that is absent.
-func fill[T any](t *T, fields []field[T], at Origin, section string, found []statement) Problems {
+// fill sets the fields of t from a section; of two statements for a key the later
+// counts. It reports each statement that is unknown or wrong, and each required
+// key that is absent.
+func fill[T any](t *T, fields []field[T], sec section) Problems {
 	var problems Problems
-	present := make(map[string]bool, len(found))
-	for _, s := range found {
+	present := make(map[string]bool, len(sec.statements))
+	for _, s := range sec.statements {
 		f, ok := find(fields, s.key)
 		if !ok {
 			problems = append(problems, s.problem(lhcode.SettingUnknown, keys(fields)))
@@ -301,7 +302,7 @@
 	for _, f := range fields {
 		if f.required && !present[f.key] {
 			problems = append(problems, Problem{
-				Origin: at, Code: lhcode.SettingMissing, Key: section + "." + f.key, Allowed: "required: " + f.allowed,
+				Origin: sec.origin, Code: lhcode.SettingMissing, Key: sec.name + "." + f.key, Allowed: "required: " + f.allowed,
 			})
 		}
 	}
--- /dev/null
+++ b/lhconf/main_test.go
@@ -0,0 +1,15 @@
+package lhconf
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/lhconf/merge_test.go
@@ -0,0 +1,164 @@
+package lhconf
+
+import (
+	"testing"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	cutdesk = "[service cutdesk]\naddress = 10.0.0.80:443\nproto = tcp\n"
+	server1 = "[server cutdesk-01]\nservice = cutdesk\naddress = 10.1.0.1:6081\ndatacentre = ebetsu\nslots = 2\nflows = 2000\n"
+	orders  = "[kind orders]\nservice = cutdesk\nurgency = 5\nshare = 60\n"
+)
+
+func TestMerge(t *testing.T) {
+	c, origins, problems := Merge(map[string]string{
+		"10.ini": cutdesk + orders + server1,
+		"20.ini": "[server cutdesk-01]\nstate = draining\nslots = 3\n",
+		"30.ini": "# nothing yet\n",
+	})
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	assert.Equal(t, c.Services[0].Proto, lhflow.TCP)
+	assert.Equal(t, len(c.Servers), 1)
+	s := c.Servers[0]
+	assert.Equal(t, s.Slots, uint32(3))
+	assert.Equal(t, s.Weight, uint32(1))
+	assert.Equal(t, s.State, Draining)
+	assert.Equal(t, c.Kinds[0].Share, uint32(60))
+	assert.Equal(t, len(c.Files), 3)
+	for _, v := range origins {
+		if v.Section == "server cutdesk-01" && v.Key == "slots" {
+			assert.Equal(t, v.Origin, Origin{"20.ini", 3})
+			assert.DeepEqual(t, v.Replaced, []Origin{{"10.ini", 12}})
+			return
+		}
+	}
+	t.Fatal("origins hold no slots")
+}
+
+func TestMergeProblems(t *testing.T) {
+	cases := []struct {
+		name  string
+		files []string
+		at    Origin
+		key   string
+		code  lhcode.Code
+	}{
+		{
+			"unknown key",
+			[]string{cutdesk + "colour = red\n"},
+			Origin{"0.ini", 4},
+			"service cutdesk.colour", lhcode.SettingUnknown,
+		},
+		{
+			"unknown section",
+			[]string{cutdesk + "[backend x]\nslots = 1\n"},
+			Origin{"0.ini", 5},
+			"backend x.slots", lhcode.SettingUnknown,
+		},
+		{
+			"section without a name",
+			[]string{cutdesk + "[kind]\n"},
+			Origin{"0.ini", 4},
+			"kind", lhcode.SettingUnknown,
+		},
+		{
+			"missing key",
+			[]string{cutdesk, "[kind orders]\nservice = cutdesk\n"},
+			Origin{"1.ini", 1},
+			"kind orders.urgency", lhcode.SettingMissing,
+		},
+		{
+			"missing reference",
+			[]string{server1},
+			Origin{"0.ini", 2},
+			"server cutdesk-01.service", lhcode.ReferenceUnknown,
+		},
+		{
+			"key written twice in one file",
+			[]string{cutdesk + "proto = udp\n", "[service cutdesk]\nproto = tcp\n"},
+			Origin{"0.ini", 4},
+			"service cutdesk.proto", lhcode.DeclaredTwice,
+		},
+		{
+			"two services at one address",
+			[]string{cutdesk, "[service proofbox]\naddress = 10.0.0.80:443\nproto = tcp\n"},
+			Origin{"1.ini", 2},
+			"service proofbox.address", lhcode.DeclaredTwice,
+		},
+		{
+			"two servers at one address",
+			[]string{cutdesk + server1, "[server other]\nservice = cutdesk\naddress = 10.1.0.1:6081\ndatacentre = ebetsu\nslots = 2\nflows = 1\n"},
+			Origin{"1.ini", 3},
+			"server other.address", lhcode.DeclaredTwice,
+		},
+		{
+			"one server behind two services",
+			[]string{cutdesk + server1, "[service proofbox]\naddress = 10.0.0.81:443\nproto = tcp\n[server cutdesk-01]\nservice = proofbox\n"},
+			Origin{"1.ini", 5},
+			"server cutdesk-01.service", lhcode.DeclaredTwice,
+		},
+		{
+			"shares over the whole",
+			[]string{cutdesk + orders, "[kind proofs]\nservice = cutdesk\nurgency = 1\nshare = 41\ncallers = 10.0.0.0/8\n"},
+			Origin{"1.ini", 4},
+			"kind proofs.share", lhcode.SettingRange,
+		},
+		{
+			"two kinds with the same callers",
+			[]string{cutdesk + orders, "[kind proofs]\nservice = cutdesk\nurgency = 1\n"},
+			Origin{"1.ini", 1},
+			"kind proofs.callers", lhcode.DeclaredTwice,
+		},
+		{
+			"prefix with host bits",
+			[]string{cutdesk + orders + "callers = 10.0.0.1/8\n"},
+			Origin{"0.ini", 8},
+			"kind orders.callers", lhcode.SettingInvalid,
+		},
+		{
+			"weight of 0",
+			[]string{cutdesk + server1 + "weight = 0\n"},
+			Origin{"0.ini", 10},
+			"server cutdesk-01.weight", lhcode.SettingRange,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			files := make(map[string]string)
+			for i, text := range c.files {
+				files[string(rune('0'+i))+".ini"] = text
+			}
+			_, _, problems := Merge(files)
+			assert.Equal(t, len(problems), 1, "%v", problems)
+			p := problems[0]
+			assert.Equal(t, p.Origin, c.at, "%v", p)
+			assert.Equal(t, p.Key, c.key)
+			assert.Equal(t, p.Code, c.code)
+			assert.Equal(t, lhcode.Of(problems.Err()), c.code)
+		})
+	}
+}
+
+func TestReadFolder(t *testing.T) {
+	cases := []struct {
+		dir   string
+		files int
+		code  lhcode.Code
+	}{
+		{"../examples/kiritori", 5, lhcode.OK},
+		{"../examples/cevallos", 5, lhcode.OK},
+		{"../examples/absent", 0, lhcode.FileUnreadable},
+		{"../examples", 0, lhcode.FileUnreadable},
+	}
+	for _, c := range cases {
+		t.Run(c.dir, func(t *testing.T) {
+			files, err := ReadFolder(c.dir)
+			assert.Equal(t, lhcode.Of(err), c.code)
+			assert.Equal(t, len(files), c.files)
+		})
+	}
+}
--- /dev/null
+++ b/lhconf/number_test.go
@@ -0,0 +1,83 @@
+package lhconf
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// fleet returns a configuration of one service at the given port with a server
+// at each of the given ports.
+func fleet(servicePort uint16, proto lhflow.Proto, serverPorts ...uint16) Config {
+	service := Service{Name: "cutdesk", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.80"), servicePort), Proto: proto}
+	c := Config{Services: []Service{service}}
+	for i, port := range serverPorts {
+		c.Servers = append(c.Servers, BackendServer{
+			Name:    fmt.Sprintf("cutdesk-%d", i),
+			Service: service.Name,
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.1.0.1"), port),
+			Weight:  1, Slots: 2, Flows: 2000,
+		})
+	}
+	return c
+}
+
+func TestAssign(t *testing.T) {
+	first := Assign(Config{}, fleet(443, lhflow.TCP, 1, 2))
+	cases := []struct {
+		name string
+		next Config
+		want []uint32
+	}{
+		{"first", fleet(443, lhflow.TCP, 1, 2), []uint32{1, 2}},
+		{"added", fleet(443, lhflow.TCP, 1, 2, 3), []uint32{1, 2, 3}},
+		{"moved", fleet(443, lhflow.TCP, 1, 3), []uint32{1, 3}},
+		{"other port of the service", fleet(444, lhflow.TCP, 1, 2), []uint32{3, 4}},
+		{"other protocol of the service", fleet(443, lhflow.UDP, 1, 2), []uint32{3, 4}},
+		{"none", fleet(443, lhflow.TCP), nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := Assign(first, c.next)
+			var numbers []uint32
+			for _, s := range got.Servers {
+				numbers = append(numbers, s.Number)
+			}
+			assert.DeepEqual(t, numbers, c.want)
+		})
+	}
+}
+
+// TestAssignNeverReuses changes a fleet at random and holds each number against
+// a record of every server that has ever had it.
+func TestAssignNeverReuses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var current Config
+		holders := make(map[uint32]identity)
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			next := fleet(
+				rapid.Uint16Range(443, 444).Draw(t, "service port"),
+				rapid.SampledFrom([]lhflow.Proto{lhflow.TCP, lhflow.UDP}).Draw(t, "proto"),
+				rapid.SliceOfNDistinct(rapid.Uint16Range(1, 6), 0, 6, rapid.ID).Draw(t, "server ports")...,
+			)
+			previous := make(map[identity]uint32)
+			for id, s := range identities(current) {
+				previous[id] = s.Number
+			}
+			current = Assign(current, next)
+			for id, s := range identities(current) {
+				holder, given := holders[s.Number]
+				assert.Assert(t, s.Number > 0 && s.Number < current.NextNumber)
+				assert.Assert(t, !given || holder == id, "number %d was given to %v and then to %v", s.Number, holder, id)
+				kept, stood := previous[id]
+				assert.Assert(t, !stood || kept == s.Number, "%v changed its number", id)
+				assert.Assert(t, stood || !given, "%v got an old number", id)
+				holders[s.Number] = id
+			}
+		}
+	})
+}
--- a/lhconf/problem.go
+++ b/lhconf/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
@@ -56,6 +57,17 @@
 	return strings.Join(lines, "\n")
 }
 
+// sort orders problems by file and line.
+func (ps Problems) sort() {
+	sort.SliceStable(ps, func(i, j int) bool {
+		a, b := ps[i].Origin, ps[j].Origin
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		return a.Line < b.Line
+	})
+}
+
 // Err returns an error with the code of the first problem, or nil where there is none.
 func (ps Problems) Err() error {
 	if len(ps) == 0 {
--- a/lhconf/settings.go
+++ b/lhconf/settings.go
@@ -3,7 +3,7 @@
 import (
 	"net/netip"
 	"os"
-	"sort"
+	"strings"
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
@@ -104,33 +104,36 @@
 // ParseSettings reads settings from the text of the file name. The error carries
 // every problem found; Settings are then empty.
 func ParseSettings(name string, text []byte) (Settings, error) {
-	found, problems := parseStatements(name, text)
-	sections := make(map[string][]statement)
-	for _, s := range found {
-		sections[s.section] = append(sections[s.section], s)
-	}
+	sections, problems := parseSections(name, text)
 	settings := DefaultSettings()
-	for _, section := range settingSections {
-		problems = append(problems, fill(&settings, section.fields, Origin{File: name}, section.name, sections[section.name])...)
-		delete(sections, section.name)
+	present := make(map[string]bool)
+	for _, sec := range joinSections(sections) {
+		fields, ok := settingFields(sec.name)
+		if !ok {
+			problems = append(problems, sec.unknown("known sections are "+settingSectionNames())...)
+			continue
+		}
+		present[sec.name] = true
+		problems = append(problems, fill(&settings, fields, sec)...)
 	}
-	for _, unknown := range sections {
-		for _, s := range unknown {
-			problems = append(problems, s.problem(lhcode.SettingUnknown, settingSectionNames))
+	for _, known := range settingSections {
+		if !present[known.name] {
+			absent := section{origin: Origin{File: name}, name: known.name}
+			problems = append(problems, fill(&settings, known.fields, absent)...)
 		}
 	}
 	if len(problems) == 0 {
-		problems = settings.validate(name, found)
+		problems = settings.validate(name, sections)
 	}
 	if len(problems) > 0 {
-		sort.SliceStable(problems, func(i, j int) bool { return problems[i].Origin.Line < problems[j].Origin.Line })
+		problems.sort()
 		return Settings{}, problems.Err()
 	}
 	return settings, nil
 }
 
 // validate checks what holds between settings that are each within their range.
-func (s *Settings) validate(name string, found []statement) Problems {
+func (s *Settings) validate(name string, sections []section) Problems {
 	if s.Suspect >= 2*s.Heartbeat {
 		return nil
 	}
@@ -138,15 +141,34 @@
 		Origin: Origin{File: name}, Code: lhcode.SettingRange, Key: "times.suspect",
 		Value: s.Suspect.String(), Allowed: "at least twice times.heartbeat, which is " + s.Heartbeat.String(),
 	}
-	for _, f := range found {
-		if f.name() == "times.suspect" || (problem.Origin.Line == 0 && f.name() == "times.heartbeat") {
-			problem.Origin = f.origin
+	for _, sec := range sections {
+		for _, f := range sec.statements {
+			if f.name() == "times.suspect" || f.name() == "times.heartbeat" {
+				problem.Origin = f.origin
+			}
 		}
 	}
 	return Problems{problem}
 }
 
-const settingSectionNames = "known sections are vm, listen, fabric, peers, platform, limits, times, log"
+// settingFields returns the fields of a section.
+func settingFields(name string) ([]field[Settings], bool) {
+	for _, s := range settingSections {
+		if s.name == name {
+			return s.fields, true
+		}
+	}
+	return nil, false
+}
+
+// settingSectionNames returns the names of all sections.
+func settingSectionNames() string {
+	names := make([]string, len(settingSections))
+	for i, s := range settingSections {
+		names[i] = s.name
+	}
+	return strings.Join(names, ", ")
+}
 
 // settingSections are the sections of a settings file with their keys.
 var settingSections = []struct {
