--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -50,6 +50,11 @@
 	NotFound Code = 206
 	// PreconditionFailed is a conditional write to a key that had changed meanwhile.
 	PreconditionFailed Code = 207
+
+	// Unreachable is an entry process that gave no answer to an operator.
+	Unreachable Code = 701
+	// NotServing is an entry process that starts or leaves and takes no packets.
+	NotServing Code = 702
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
