cmd/laburnumhollow: check folders and ask entry processes from the command line

The commands check, dump, status and version with their help, exit codes and JSON output; entry and demo are declared and end with an error until their packages are there. A call that fails before its command starts is reported as a wrong call.

--- /dev/null
+++ b/cmd/laburnumhollow/check.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/spf13/cobra"
+)
+
+// checkResult is what check reports of a folder without problems.
+type checkResult struct {
+	Services int            `json:"services"`
+	Servers  int            `json:"servers"`
+	Kinds    int            `json:"kinds"`
+	Values   lhconf.Origins `json:"values"`
+}
+
+func newCheckCommand(p *printer) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FOLDER",
+		Short: "Check a configuration folder and show where each value comes from",
+		Long: `Check a configuration folder without changing anything.
+
+The folder's *.ini files are merged in the order of their names. Each merged value
+is printed with the file and line that it comes from, and the lines whose values
+it replaced. Where there are problems, all of them are printed instead.`,
+		Example: "  laburnumhollow check examples/kiritori\n  laburnumhollow check examples/kiritori -o json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			files, err := lhconf.ReadFolder(args[0])
+			if err != nil {
+				return err
+			}
+			config, origins, problems := lhconf.Merge(files)
+			if len(problems) > 0 {
+				return problems.Err()
+			}
+			result := checkResult{len(config.Services), len(config.Servers), len(config.Kinds), origins}
+			return p.result(result, func(w io.Writer) { writeCheck(w, result) })
+		},
+	}
+}
+
+func writeCheck(w io.Writer, r checkResult) {
+	section := ""
+	for _, v := range r.Values {
+		if v.Section != section {
+			section = v.Section
+			fmt.Fprintf(w, "[%s]\n", section)
+		}
+		fmt.Fprintf(w, "  %s = %s\t%s%s\n", v.Key, v.Value, v.Origin, replaced(v.Replaced))
+	}
+	fmt.Fprintf(w, "no problems; services: %d, backend servers: %d, kinds of work: %d\n", r.Services, r.Servers, r.Kinds)
+}
+
+// replaced lists the lines whose values another one replaced.
+func replaced(lines []lhconf.Origin) string {
+	if len(lines) == 0 {
+		return ""
+	}
+	texts := make([]string, len(lines))
+	for i, line := range lines {
+		texts[i] = line.String()
+	}
+	return ", replaces " + strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/cmd/laburnumhollow/dump.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+	"github.com/spf13/cobra"
+)
+
+func newDumpCommand(p *printer) *cobra.Command {
+	var service string
+	var timeout time.Duration
+	c := &cobra.Command{
+		Use:   "dump ADDRESS",
+		Short: "Show the state of one entry process",
+		Long: `Show the state of one entry process: its members, flows by service and
+backend server, decisions by kind of work, and counters.
+
+ADDRESS is the listen.ops address of the VM's settings. The process lists a
+bounded number of entries and says how many it left out; --service asks for those
+of one service.`,
+		Example: "  laburnumhollow dump 10.40.1.11:7002\n  laburnumhollow dump 10.40.1.11:7002 --service cutdesk -o json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			client, err := opsClient(args[0], timeout)
+			if err != nil {
+				return err
+			}
+			d, err := client.Dump(cmd.Context(), service)
+			if err != nil {
+				return err
+			}
+			return p.result(d, func(w io.Writer) { writeDump(w, d) })
+		},
+	}
+	c.Flags().StringVar(&service, "service", "", "show this service only")
+	addTimeout(c, &timeout)
+	return c
+}
+
+func writeDump(w io.Writer, d lhops.Dump) {
+	fmt.Fprintf(w, "vm\t%s\ndata centre\t%s\ngroup\t%s\nversion\t%s\n", d.VM, d.DataCentre, d.Group, d.Version)
+	fmt.Fprintf(w, "state\t%s\nrevision\t%d %s\nview\t%d\n", stateText(d.Health), d.Revision, d.Digest, d.View)
+	fmt.Fprintf(w, "flow table\t%d of %d flows, %d bytes\n", d.Table.Flows, d.Table.Limit, d.Table.Bytes)
+	writeMembers(w, d.Members)
+	writeServers(w, d.Services)
+	writeWork(w, d.Work)
+	fmt.Fprint(w, "\ncounter\tvalue\n")
+	for _, name := range slices.Sorted(maps.Keys(d.Counters)) {
+		fmt.Fprintf(w, "%s\t%d\n", name, d.Counters[name])
+	}
+	if d.Omitted > 0 {
+		fmt.Fprintf(w, "\nentries left out: %d; see --service\n", d.Omitted)
+	}
+}
+
+func writeMembers(w io.Writer, members []lhops.MemberState) {
+	fmt.Fprint(w, "\nmember\tid\tdata centre\tstate\trevision\tlast heard\n")
+	for _, m := range members {
+		silent := time.Duration(m.Silent) * time.Millisecond
+		fmt.Fprintf(w, "%s\t%v\t%s\t%v\t%d\t%v ago\n", m.Name, m.ID, m.DataCentre, m.State, m.Revision, silent)
+	}
+}
+
+func writeServers(w io.Writer, services []lhops.ServiceState) {
+	fmt.Fprint(w, "\nservice\tserver\tnumber\tdata centre\tstate\tflows\tlimit\n")
+	for _, s := range services {
+		fmt.Fprintf(w, "%s\t%v %v\t\t\t\t%d\t\n", s.Name, s.Address, s.Proto, s.Flows)
+		for _, server := range s.Servers {
+			fmt.Fprintf(w, "\t%s\t%d\t%s\t%v\t%d\t%d\n", server.Name, server.Number, server.DataCentre, server.State, server.Flows, server.Limit)
+		}
+	}
+}
+
+func writeWork(w io.Writer, work []lhops.WorkState) {
+	fmt.Fprint(w, "\nkind\tservice\tflows\tlimit\tadmitted\trefused\n")
+	for _, k := range work {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", k.Kind, k.Service, k.Flows, k.Limit, k.Admitted, k.Refused)
+	}
+}
+
+// stateText returns a state with the reason for it.
+func stateText(h lhops.Health) string {
+	if h.Reason == "" {
+		return h.State.String()
+	}
+	return h.State.String() + ": " + h.Reason
+}
--- a/cmd/laburnumhollow/main.go
+++ b/cmd/laburnumhollow/main.go
@@ -1,10 +1,74 @@
-// Command laburnumhollow is a layer-4 load balancer and its operators' tool.
 package main
 
-import "os"
+import (
+	"context"
+	"io"
+	"os"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/spf13/cobra"
+)
 
 func main() {
-	os.Exit(run(os.Args[1:]))
+	os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run carries out one call of the command line and returns its exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	p := &printer{out: stdout, errors: stderr}
+	root := newRoot(p)
+	started := false
+	for _, c := range root.Commands() {
+		c.RunE = onStart(c.RunE, func() error {
+			started = true
+			return p.checkFormat()
+		})
+	}
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err != nil && !started {
+		err = lhcode.Wrap(lhcode.Usage, err, "wrong call; see laburnumhollow --help")
+	}
+	p.fault(err)
+	return exitCode(lhcode.Of(err))
 }
 
-func run(_ []string) int { return 0 }
+// onStart returns run with a step before it. A call that fails earlier than this
+// step was wrong in its words, flags or arguments.
+func onStart(run func(*cobra.Command, []string) error, step func() error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, args []string) error {
+		if err := step(); err != nil {
+			return err
+		}
+		return run(c, args)
+	}
+}
+
+// newRoot returns the command line with all its commands.
+func newRoot(p *printer) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "laburnumhollow",
+		Short: "A layer-4 load balancer that is run by a folder of small files",
+		Long: `A layer-4 load balancer that is run by a folder of small files.
+
+Exit codes: 0 done, 1 a fault was found, 2 wrong call, 3 another operator was
+faster, 4 the platform's service or a VM gave no answer and nothing was changed,
+5 not known whether a change is in force.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	root.PersistentFlags().StringVarP(&p.format, "output", "o", formatText, "form of the output: text or json")
+	root.AddCommand(
+		newEntryCommand(p),
+		newCheckCommand(p),
+		newDumpCommand(p),
+		newStatusCommand(p),
+		newDemoCommand(p),
+		newVersionCommand(p),
+	)
+	return root
+}
--- /dev/null
+++ b/cmd/laburnumhollow/main_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+)
+
+// fixedSource is a process whose state never changes.
+type fixedSource struct{ dump lhops.Dump }
+
+func (s fixedSource) Dump() lhops.Dump     { return s.dump }
+func (s fixedSource) Health() lhops.Health { return s.dump.Health }
+
+// startProcess serves a process in the given state and returns its address.
+func startProcess(t *testing.T, d lhops.Dump) string {
+	t.Helper()
+	handler, err := lhops.NewHandler(fixedSource{d})
+	assert.NilError(t, err)
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// runCLI carries out one call and returns its exit code and output.
+func runCLI(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errors bytes.Buffer
+	code = run(t.Context(), args, &out, &errors)
+	return code, out.String(), errors.String()
+}
+
+func writeFile(t *testing.T, dir, name, text string) string {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestCommands(t *testing.T) {
+	serving := startProcess(t, lhops.Dump{VM: "ebetsu-1", Revision: 7, Health: lhops.Health{State: lhops.Serving}})
+	leaving := startProcess(t, lhops.Dump{VM: "ebetsu-2", Health: lhops.Health{State: lhops.Leaving, Reason: "planned stop"}})
+	bad := t.TempDir()
+	writeFile(t, bad, "10.ini", "[service a]\nproto = tcp\n[server b]\nslots = x\n")
+	cases := []struct {
+		name   string
+		args   []string
+		code   int
+		stdout string
+		stderr string
+	}{
+		{"help", nil, exitDone, "Available Commands", ""},
+		{"version", []string{"version"}, exitDone, "go1.", ""},
+		{"unknown command", []string{"start"}, exitUsage, "", "[2] wrong call"},
+		{"unknown flag", []string{"check", "--fast", "."}, exitUsage, "", "[2] wrong call"},
+		{"unknown format", []string{"check", ".", "-o", "yaml"}, exitUsage, "", "neither text nor json"},
+		{"missing argument", []string{"check"}, exitUsage, "", "accepts 1 arg"},
+		{"check", []string{"check", "../../examples/kiritori"}, exitDone, "services: 2, backend servers: 18, kinds of work: 4", ""},
+		{"check absent folder", []string{"check", "absent"}, exitFault, "", "[105]"},
+		{"check bad folder", []string{"check", bad}, exitFault, "", "10.ini:4: [103] server b.slots = \"x\": a whole number from 1"},
+		{"entry without settings", []string{"entry"}, exitUsage, "", `required flag(s) "settings"`},
+		{"entry with bad settings", []string{"entry", "--settings", filepath.Join(bad, "10.ini")}, exitFault, "", "10.ini:2: [101] service a.proto"},
+		{"status", []string{"status", serving}, exitDone, "ebetsu-1", ""},
+		{"status of one that leaves", []string{"status", serving, leaving}, exitFault, "leaving: planned stop", "[702]"},
+		{"status of a silent one", []string{"status", serving, "127.0.0.1:1"}, exitUnavailable, "ebetsu-1", "[701]"},
+		{"status of no address", []string{"status", "::"}, exitUnavailable, "[2] address", "[701]"},
+		{"dump", []string{"dump", serving}, exitDone, "ebetsu-1", ""},
+		{"dump of an absent service", []string{"dump", serving, "--service", "x"}, exitFault, "", "[206] no service"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			code, stdout, stderr := runCLI(t, c.args...)
+			assert.Equal(t, code, c.code, "%s%s", stdout, stderr)
+			assert.Assert(t, cmp.Contains(stdout, c.stdout))
+			assert.Assert(t, cmp.Contains(stderr, c.stderr))
+			assert.Equal(t, stderr == "", c.stderr == "", "%s", stderr)
+		})
+	}
+}
+
+func TestOutputAsJSON(t *testing.T) {
+	serving := startProcess(t, lhops.Dump{VM: "ebetsu-1", Health: lhops.Health{State: lhops.Serving}})
+	cases := [][]string{
+		{"check", "../../examples/cevallos"},
+		{"dump", serving},
+		{"status", serving},
+		{"version"},
+	}
+	for _, args := range cases {
+		t.Run(args[0], func(t *testing.T) {
+			code, stdout, stderr := runCLI(t, append(args, "-o", "json")...)
+			assert.Equal(t, code, exitDone, "%s", stderr)
+			assert.Assert(t, json.Valid([]byte(stdout)), "%s", stdout)
+		})
+	}
+	_, _, stderr := runCLI(t, "check", "absent", "-o", "json")
+	var fault struct{ Code int }
+	assert.NilError(t, json.Unmarshal([]byte(stderr), &fault))
+	assert.Equal(t, fault.Code, 105)
+}
