--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -57,6 +57,10 @@
 	PeerUnknown Code = 602
 	// PeerReplaced is a member whose VM has since been started anew.
 	PeerReplaced Code = 603
+	// Unreachable is an entry process that gave no answer to an operator.
+	Unreachable Code = 701
+	// NotServing is an entry process that starts or leaves and takes no packets.
+	NotServing Code = 702
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
