--- a/lhflow/engine.go
+++ b/lhflow/engine.go
@@ -6,40 +6,6 @@
 	"time"
 )
 
-// Placer chooses the backend servers of new flows and knows which servers there
-// are. Its methods are called from several threads and return without waiting.
-type Placer interface {
-	// Place admits a new flow and chooses its server, which is not one of tried.
-	Place(now time.Duration, id ID, key Key, tried uint32) Placement
-	// Holds reports whether the server with this number is still declared for
-	// the service of key.
-	Holds(server uint32, key Key) bool
-	// Declared reports whether a server with this number is still declared.
-	Declared(server uint32) bool
-	// Accepts reports whether the server takes new flows.
-	Accepts(server uint32) bool
-	// Retry takes one from the retry budget; false when there is none left.
-	Retry(now time.Duration) bool
-	// Opened says that this VM counts a flow from now on.
-	Opened(now time.Duration, server uint32, work uint16)
-	// Answered says that server answered a SYN after the given time.
-	Answered(now time.Duration, server uint32, after time.Duration)
-	// Refused says that server answered a SYN with a reset.
-	Refused(now time.Duration, server uint32)
-	// Silent says that server did not answer a SYN.
-	Silent(now time.Duration, server uint32)
-	// Closed says that this VM counts the flow no more.
-	Closed(now time.Duration, server uint32, work uint16)
-}
-
-// Placement is the outcome of placing a new flow. Server is 0 when the flow is
-// refused for Reason.
-type Placement struct {
-	Server uint32
-	Work   uint16
-	Reason Reason
-}
-
 // Limits are the bounds and times that an Engine works within. A zero field
 // stands for its default.
 type Limits struct {
@@ -178,9 +144,10 @@
 	return e.ask(ev, view, owners.First)
 }
 
-// needsOwner reports whether only the flow's first owner may decide: on packets
-// that open or end it. The answer to a SYN passes the first owner before the
-// caller sees it, so no data can flow that the first owner does not expect.
+// needsOwner reports whether only the flow's first owner may decide: until the
+// flow is open, and on packets that end it. So the answer to a SYN passes the
+// first owner before the caller sees it, and no data can flow that it does not
+// expect; and it sees how long the server takes for its first answer.
 func needsOwner(ev *Event, en *entry) bool {
 	if ev.Flags&(SYN|FIN|RST) != 0 {
 		return true
--- a/lhflow/fleet_test.go
+++ b/lhflow/fleet_test.go
@@ -228,6 +228,7 @@
 	serving []uint32
 	flows   map[uint32]int
 	refuse  bool
+	turns   [Ended + 1]int
 }
 
 func (p *testPlacer) Place(_ time.Duration, id ID, _ Key, tried uint32) Placement {
@@ -255,14 +256,20 @@
 	return false
 }
 
-func (p *testPlacer) Retry(time.Duration) bool                        { return true }
-func (p *testPlacer) Opened(_ time.Duration, server uint32, _ uint16) { p.flows[server]++ }
-func (p *testPlacer) Closed(_ time.Duration, server uint32, _ uint16) { p.flows[server]-- }
-func (p *testPlacer) Answered(time.Duration, uint32, time.Duration)   {}
-func (p *testPlacer) Refused(time.Duration, uint32)                   {}
-func (p *testPlacer) Silent(time.Duration, uint32)                    {}
-func memberOf(vm int) MemberID                                        { return MemberID(vm+1) * 0x9e3779b97f4a7c15 }
-func vmOf(m MemberID) int                                             { return vmByID[m] }
+func (p *testPlacer) Retry(Key) bool { return true }
+
+func (p *testPlacer) Report(_ time.Duration, r Report) {
+	p.turns[r.Turn]++
+	switch r.Turn {
+	case Opened, Adopted:
+		p.flows[r.Server]++
+	case Rejected, Silent, Ended:
+		p.flows[r.Server]--
+	}
+}
+
+func memberOf(vm int) MemberID { return MemberID(vm+1) * 0x9e3779b97f4a7c15 }
+func vmOf(m MemberID) int      { return vmByID[m] }
 
 var vmByID = func() map[MemberID]int {
 	m := map[MemberID]int{}
--- a/lhflow/handover.go
+++ b/lhflow/handover.go
@@ -106,11 +106,11 @@
 	}
 	if mine && !en.has(counted) && en.state >= Opening && en.state < Closed {
 		en.marks |= counted
-		e.placer.Opened(now, en.server, en.work)
+		e.tell(now, Adopted, en, [16]byte{})
 	}
 	if !mine && en.has(counted) {
 		en.marks &^= counted
-		e.placer.Closed(now, en.server, en.work)
+		e.tell(now, Ended, en, [16]byte{})
 	}
 	if contains(holders(v, id), v.Self) {
 		if mine || owners.Second == v.Self {
@@ -238,7 +238,7 @@
 	}
 	s.mu.Unlock()
 	for _, en := range ended {
-		e.placer.Closed(now, en.server, en.work)
+		e.tell(now, Ended, &en, [16]byte{})
 	}
 }
 
--- a/lhflow/owner.go
+++ b/lhflow/owner.go
@@ -48,6 +48,8 @@
 // advance moves the state of a record on by what the packet says.
 func (e *Engine) advance(ev *Event, en *entry) {
 	switch {
+	case ev.Quoted:
+		return
 	case ev.Flags.Has(RST):
 		en.state = Closed
 	case ev.Flags.Has(FIN):
@@ -56,27 +58,68 @@
 		if en.has(callerFIN) && en.has(serverFIN) {
 			en.state = Closed
 		}
-	case en.state == Opening && ev.Source == FromServer && !ev.Quoted:
-		en.state = Open
+	case ev.Source == FromServer:
+		en.state = max(en.state, answeredState(ev, en))
+	case !ev.Flags.Has(SYN):
+		en.state = max(en.state, Complete)
+	}
+	if ev.Source == FromCaller && ev.Data > 0 && en.asked == 0 {
+		en.asked = ticks(ev.Now)
+	}
+	if ev.Source == FromServer && ev.Data > 0 {
+		en.marks |= served
 	}
 	if en.state == Closed {
 		en.marks &^= counted
 	}
 }
 
-// report tells the placer what a packet has changed of a flow.
+// answeredState returns the state that a packet of the server shows.
+func answeredState(ev *Event, en *entry) State {
+	if ev.Flags.Has(SYN) || en.state < Complete {
+		return Accepted
+	}
+	return Open
+}
+
+// report tells the placer what a packet has changed of a flow that this VM counts.
 func (e *Engine) report(ev *Event, before, after *entry) {
-	if before.state == Opening && ev.Source == FromServer && !ev.Quoted {
-		if ev.Flags.Has(RST) {
-			e.placer.Refused(ev.Now, after.server)
-		} else {
-			took := ticks(ev.Now).since(after.opened)
-			e.placer.Answered(ev.Now, after.server, time.Duration(took)*time.Millisecond)
-		}
+	if !before.has(counted) {
+		return
 	}
-	if before.has(counted) && !after.has(counted) {
-		e.placer.Closed(ev.Now, after.server, after.work)
+	now := ticks(ev.Now)
+	r := before.report(ev.Key.Caller)
+	switch {
+	case before.state == Opening && ev.Source == FromServer && after.state == Closed:
+		r.Turn = Rejected
+	case !after.has(counted):
+		r.Turn = Ended
+	case before.state == Opening && after.state == Accepted:
+		r.Turn = Answered
+		r.After = now.after(after.opened)
+	case before.state < Complete && after.state >= Complete && !after.has(datagram):
+		r.Turn = Established
+	case !before.has(served) && after.has(served):
+		r.Turn = Served
+		if after.asked != 0 {
+			r.After = now.after(after.asked)
+		}
+	default:
+		return
 	}
+	e.placer.Report(ev.Now, r)
+}
+
+// report returns a Report of the entry as it stands, without a turn.
+func (e *entry) report(caller [16]byte) Report {
+	return Report{Server: e.server, Work: e.work, Caller: caller, State: e.state, Done: e.has(served)}
+}
+
+// tell reports a turn of a flow apart from any packet.
+func (e *Engine) tell(now time.Duration, t Turn, en *entry, caller [16]byte) {
+	r := en.report(caller)
+	r.Turn = t
+	e.placer.Report(now, r)
 }
 
 func finMark(s Source) mark {
@@ -87,15 +130,16 @@
 }
 
 // needsCopy reports whether the packet is to pass the second owner: it opens or
-// ends the flow, the second owner is another one than last time, or its copy is old.
+// ends the flow, its server has just answered, the second owner is another one
+// than last time, or its copy is old.
 func needsCopy(ev *Event, before, after *entry, owners Owners) bool {
 	if owners.Second == 0 {
 		return false
 	}
-	if after.copied != short(owners.Second) || before.state != after.state {
+	if after.copied != short(owners.Second) || after.state == Opening {
 		return true
 	}
-	if ev.Flags&(FIN|RST) != 0 || after.state == Opening {
+	if ev.Flags&(FIN|RST) != 0 || before.state == Opening {
 		return true
 	}
 	return after.stale(ticks(ev.Now))
@@ -156,21 +200,20 @@
 func (e *Engine) repeat(ev *Event, view *View, en entry) Verdict {
 	waited := ticks(ev.Now).since(en.opened)
 	due := waited >= int32(e.limits.Retry/time.Millisecond)
-	if en.state != Opening || !due || en.attempt >= maxAttempts || !e.placer.Retry(ev.Now) {
+	if en.state != Opening || !due || en.attempt >= maxAttempts || !e.placer.Retry(ev.Key) {
 		return e.pass(ev, view, &en)
 	}
-	e.placer.Silent(ev.Now, en.server)
 	p := e.placer.Place(ev.Now, ev.ID, ev.Key, en.server)
 	if p.Server == 0 || p.Server == en.server {
 		return e.pass(ev, view, &en)
 	}
 	abandoned := en.server
-	e.placer.Closed(ev.Now, en.server, en.work)
-	e.placer.Opened(ev.Now, p.Server, p.Work)
+	e.tell(ev.Now, Silent, &en, ev.Key.Caller)
 	en.server = p.Server
 	en.work = p.Work
 	en.opened = ticks(ev.Now)
 	en.attempt++
+	e.tell(ev.Now, Opened, &en, ev.Key.Caller)
 	e.store(ev.ID, en)
 	verdict := e.pass(ev, view, &en)
 	verdict.Abandon = abandoned
@@ -196,8 +239,8 @@
 	if last.server != 0 {
 		p.Server = last.server
 	}
-	e.placer.Opened(ev.Now, p.Server, p.Work)
 	en := newEntry(ev, p)
+	e.tell(ev.Now, Opened, &en, ev.Key.Caller)
 	e.store(ev.ID, en)
 	return e.pass(ev, view, &en)
 }
@@ -289,6 +332,6 @@
 	e.size.Add(int64(len(s.entries) - before))
 	s.mu.Unlock()
 	if en.has(counted) {
-		e.placer.Closed(now, en.server, en.work)
+		e.tell(now, Ended, &en, [16]byte{})
 	}
 }
--- a/lhflow/record.go
+++ b/lhflow/record.go
@@ -9,7 +9,11 @@
 	Refused State = iota + 1
 	// Opening is a flow whose SYN has gone to a server that has not answered.
 	Opening
-	// Open is a flow whose server has answered, or a UDP flow.
+	// Accepted is a flow whose server has answered the SYN.
+	Accepted
+	// Complete is a flow whose caller has completed the handshake.
+	Complete
+	// Open is a flow whose server has answered after the handshake, or a UDP flow.
 	Open
 	// Closing is a flow of which an end has sent FIN.
 	Closing
--- a/lhflow/relay.go
+++ b/lhflow/relay.go
@@ -97,7 +97,7 @@
 	if mine.isn != ev.Relay.ISN && !mine.has(datagram) {
 		return false
 	}
-	if mine.state >= Open && ev.Relay.State < Open {
+	if mine.state > Opening && ev.Relay.State == Opening {
 		return true
 	}
 	return mine.state >= ev.Relay.State && mine.attempt >= ev.Relay.Attempt
@@ -109,6 +109,7 @@
 	if known && mine.isn == ev.Relay.ISN && mine.server == ev.Relay.Server {
 		mine.state = max(mine.state, ev.Relay.State)
 		mine.seen = now
+		mine.renewed = now
 		mine.marks |= owned
 		return mine
 	}
@@ -169,8 +170,8 @@
 	}
 	s.mu.Unlock()
 	if moved {
-		e.placer.Closed(ev.Now, mine.server, mine.work)
-		e.placer.Opened(ev.Now, en.server, en.work)
+		e.tell(ev.Now, Ended, &mine, ev.Key.Caller)
+		e.tell(ev.Now, Adopted, &en, ev.Key.Caller)
 	}
 	if owners := view.Owners(ev.ID); owners.First == view.Self {
 		return e.decide(ev, view, owners)
--- a/lhflow/table.go
+++ b/lhflow/table.go
@@ -54,6 +54,11 @@
 // since returns the milliseconds from u to t, negative where u lies ahead.
 func (t tick) since(u tick) int32 { return int32(t - u) }
 
+// after returns the time from u to t.
+func (t tick) after(u tick) time.Duration {
+	return time.Duration(t.since(u)) * time.Millisecond
+}
+
 // mark is a property of an entry.
 type mark uint8
 
@@ -67,6 +72,8 @@
 	serverFIN
 	// datagram is set for UDP.
 	datagram
+	// served is set once the server has sent data.
+	served
 )
 
 // entry is the record of a flow in the table. It holds no pointer and is kept
@@ -85,6 +92,8 @@
 	lease tick
 	// renewed is when the record was last copied to the second owner.
 	renewed tick
+	// asked is when the caller first sent data; 0 before.
+	asked tick
 	// copied is the short form of the last member that the record was copied to.
 	copied uint16
 	// work is the number of the flow's kind of work.
