--- a/cmd/laburnumhollow/entry.go
+++ b/cmd/laburnumhollow/entry.go
@@ -1,8 +1,13 @@
 package main
 
 import (
-	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhentry"
 	"github.com/spf13/cobra"
 )
 
@@ -24,9 +29,13 @@
 			if err != nil {
 				return err
 			}
-			log := newLogger(p.errors, settings.LogLevel, settings.Name)
-			log.Error().Msg("entry process is not built in")
-			return lhcode.New(lhcode.Internal, "entry process is not built in")
+			entry, err := lhentry.New(settings, newLogger(p.errors, settings.LogLevel, settings.Name))
+			if err != nil {
+				return err
+			}
+			ctx, kill, release := stopContexts()
+			defer release()
+			return <-entry.Run(ctx, kill)
 		},
 	}
 	c.Flags().StringVar(&path, "settings", "", "file with the VM's settings")
@@ -35,3 +44,30 @@
 	}
 	return c
 }
+
+// stopContexts returns a context that ends at the first signal to stop, one that
+// ends at the second, and what releases the signals.
+func stopContexts() (ctx, kill context.Context, release func()) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for _, cancel := range []context.CancelFunc{stop, end} {
+			select {
+			case <-signals:
+				cancel()
+			case <-kill.Done():
+				return
+			}
+		}
+	}()
+	return ctx, kill, func() {
+		signal.Stop(signals)
+		stop()
+		end()
+		<-ended
+	}
+}
--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -61,6 +61,8 @@
 	Unreachable Code = 701
 	// NotServing is an entry process that starts or leaves and takes no packets.
 	NotServing Code = 702
+	// SocketFailed is an address that a process could not open or serve.
+	SocketFailed Code = 703
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"runtime"
 	"sync/atomic"
@@ -14,12 +14,15 @@
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhops"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer"
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
 	"github.com/laburnumhollow/laburnumhollow/lhwire"
+	"github.com/laburnumhollow/laburnumhollow/lhwork"
 )
 
-// Sizes of outer headers in bytes.
+// Sizes in bytes.
 const (
 	outerIPv4 = 20 + 8
 	outerIPv6 = 40 + 8
@@ -31,49 +34,87 @@
 type Entry struct {
 	settings lhconf.Settings
 	log      zerolog.Logger
-	self     lhflow.MemberID
 	started  time.Time
 	// fabric holds the addresses that callers' packets come from.
 	fabric map[netip.Addr]bool
 	socket *net.UDPConn
+	ops    net.Listener
 	engine *lhflow.Engine
+	work   lhwork.Controller
 	// table is never nil.
 	table   atomic.Pointer[lhplace.Table]
+	members contacts
+	node    *lhpeer.Node
+	runner  *lhstore.Runner
+	store   *lhstore.Client
 	workers []*forwarder
+	// leaving is set once a planned stop has begun.
+	leaving atomic.Bool
 }
 
 // New opens the sockets of an entry process. Nothing is forwarded until Run.
 func New(s lhconf.Settings, log zerolog.Logger) (*Entry, error) {
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Data))
-	if err != nil {
-		return nil, lhcode.Wrap(lhcode.Internal, err, "open the data socket")
-	}
-	_ = socket.SetReadBuffer(socketBuffer)
-	_ = socket.SetWriteBuffer(socketBuffer)
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	e := &Entry{
 		settings: s,
 		log:      log,
 		started:  time.Now(),
-		socket:   socket,
 		fabric:   make(map[netip.Addr]bool, len(s.Fabric)),
 	}
-	e.self = lhpeer.NewMemberID(e.started, 0, rng)
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
 	for _, a := range s.Fabric {
 		e.fabric[a.Unmap()] = true
 	}
 	e.table.Store(lhplace.NewTable(nil))
-	e.engine = lhflow.NewEngine(e.self, placer{e}, e.limits())
+	e.engine = lhflow.NewEngine(0, placer{e}, lhflow.Limits{
+		Flows:   s.Flows,
+		Lease:   s.Lease,
+		IdleTCP: s.IdleTCP,
+		IdleUDP: s.IdleUDP,
+	})
+	e.store = lhstore.NewClient(s.Platform, nil)
+	e.runner = lhstore.NewRunner(e.store, check, e.watching, e.SetConfig)
+	e.node = lhpeer.NewNode(e.nodeSettings())
+	e.node.OnView(e.setView)
 	e.addWorkers()
 	return e, nil
 }
 
-func (e *Entry) limits() lhflow.Limits {
-	return lhflow.Limits{
-		Flows:   e.settings.Flows,
-		Lease:   e.settings.Lease,
-		IdleTCP: e.settings.IdleTCP,
-		IdleUDP: e.settings.IdleUDP,
+func (e *Entry) listen() error {
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.settings.Data))
+	if err != nil {
+		return lhcode.Wrap(lhcode.SocketFailed, err, "open the data socket")
+	}
+	// A system that grants less is no reason not to start.
+	_ = socket.SetReadBuffer(socketBuffer)
+	_ = socket.SetWriteBuffer(socketBuffer)
+	ops, err := net.Listen("tcp", e.settings.Ops.String())
+	if err != nil {
+		_ = socket.Close()
+		return lhcode.Wrap(lhcode.SocketFailed, err, "open the operators' socket")
+	}
+	e.socket = socket
+	e.ops = ops
+	return nil
+}
+
+func (e *Entry) nodeSettings() lhpeer.Settings {
+	s := &e.settings
+	return lhpeer.Settings{
+		Self: lhflow.Member{
+			Name:       s.Name,
+			DataCentre: s.DataCentre,
+			Data:       e.Data(),
+			Control:    s.Control,
+		},
+		Contacts: s.Peers,
+		Timing:   lhpeer.Timing{Period: s.Heartbeat, Suspect: s.Suspect},
+		Budget:   s.ControlRate,
+		Records:  records{e},
+		Configs:  configs{e.runner},
+		Clock:    e.now,
+		Log:      e.log,
 	}
 }
 
@@ -87,17 +128,36 @@
 	}
 }
 
-// Data returns the address of the data socket.
+// Data returns the address that the process receives Geneve packets at.
 func (e *Entry) Data() netip.AddrPort {
 	return e.socket.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// SetConfig puts a configuration in force. The VM never goes back to a lower revision.
-func (e *Entry) SetConfig(cfg *lhconf.Config) {
+// Ops returns the address that the process serves operators at.
+func (e *Entry) Ops() netip.AddrPort {
+	return e.ops.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Control returns the address that the process serves its peers at; it is valid
+// once Run has been called.
+func (e *Entry) Control() netip.AddrPort {
+	view := e.node.View()
+	if view == nil {
+		return netip.AddrPort{}
+	}
+	self, _ := view.Member(view.Self)
+	return self.Control
+}
+
+// SetConfig puts a configuration in force. A lower revision than the one in force
+// is passed over.
+func (e *Entry) SetConfig(cfg lhconf.Config) {
 	if cfg.Revision < e.table.Load().Revision() {
 		return
 	}
-	e.table.Store(lhplace.NewTable(cfg))
+	table := lhplace.NewTable(&cfg)
+	e.work.SetTable(e.now(), table)
+	e.table.Store(table)
 	e.log.Info().Uint64("revision", cfg.Revision).Msg("configuration in force")
 }
 
@@ -114,26 +174,75 @@
 	return e.settings.MTU - outer - lhwire.Overhead
 }
 
-// Run forwards packets until the context ends. The channel then gives the first
-// error, or nil.
-func (e *Entry) Run(ctx context.Context) <-chan error {
+// Run takes part in the group and forwards packets until ctx ends, and then stops
+// as planned: it hands its flows over and goes on forwarding while packets still
+// arrive, within the bound of the settings. Once kill ends it stops at once. The
+// channel then gives the first error, or nil.
+func (e *Entry) Run(ctx, kill context.Context) <-chan error {
 	done := make(chan error, 1)
-	go func() { done <- e.run(ctx) }()
+	go func() { done <- e.run(ctx, kill) }()
 	return done
 }
 
-func (e *Entry) run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = e.socket.Close() })
-	defer stop()
-	ended := make(chan error, len(e.workers))
-	for _, w := range e.workers {
-		go func() { ended <- w.run(ctx) }()
-	}
+func (e *Entry) run(ctx, kill context.Context) error {
+	life, end := context.WithCancel(kill)
+	defer end()
+	ended := make(chan error)
+	parts := e.start(life, ended)
 	var first error
-	for range e.workers {
+	select {
+	case <-ctx.Done():
+		e.stop(kill)
+	case <-kill.Done():
+	case first = <-ended:
+		parts--
+	}
+	end()
+	_ = e.socket.Close()
+	for ; parts > 0; parts-- {
 		if err := <-ended; first == nil {
 			first = err
 		}
 	}
 	return first
 }
+
+// start starts the goroutines of the process and returns their number; each sends
+// its end on ended.
+func (e *Entry) start(ctx context.Context, ended chan<- error) int {
+	node, runner := e.node.Run(ctx), e.runner.Run(ctx)
+	e.log.Info().Stringer("data", e.Data()).Stringer("control", e.Control()).Stringer("ops", e.Ops()).
+		Msg("listening")
+	parts := []func(context.Context) error{
+		func(context.Context) error { return <-node },
+		func(context.Context) error { return <-runner },
+		e.serveOps,
+		e.handOver,
+		e.housekeep,
+	}
+	for _, w := range e.workers {
+		parts = append(parts, w.run)
+	}
+	for _, part := range parts {
+		go func() { ended <- part(ctx) }()
+	}
+	return len(parts)
+}
+
+// serveOps serves operators until the context ends.
+func (e *Entry) serveOps(ctx context.Context) error {
+	handler, err := lhops.NewHandler(e)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: opsTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(e.ops); err != http.ErrServerClosed {
+		return lhcode.Wrap(lhcode.SocketFailed, err, "serve operators")
+	}
+	return nil
+}
+
+// opsTimeout is how long an operator's request may take to arrive.
+const opsTimeout = 5 * time.Second
--- a/lhentry/forward.go
+++ b/lhentry/forward.go
@@ -98,7 +98,7 @@
 }
 
 func (f *forwarder) fromPeer(p *lhwire.Packet, from netip.AddrPort, ev *lhflow.Event) bool {
-	member, ok := f.entry.engine.View().Member(p.Sender())
+	member, ok := f.entry.members.member(p.Sender())
 	if !ok || member.Data != from {
 		return false
 	}
@@ -174,13 +174,13 @@
 }
 
 func (f *forwarder) toPeer(p *lhwire.Packet, v lhflow.Verdict) {
-	member, ok := f.entry.engine.View().Member(v.Peer)
+	member, ok := f.entry.members.member(v.Peer)
 	if !ok {
 		f.reasons[lhflow.ReasonCutOff].Add(1)
 		return
 	}
 	f.add(CountToPeer)
-	f.out = lhwire.AppendGeneve(f.out[:0], p.Inner(), f.entry.self, v.Relay)
+	f.out = lhwire.AppendGeneve(f.out[:0], p.Inner(), f.entry.engine.View().Self, v.Relay)
 	f.write(member.Data)
 }
 
--- /dev/null
+++ b/lhentry/group.go
@@ -0,0 +1,192 @@
+package lhentry
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhpeer"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+)
+
+const (
+	// tick is the time between two rounds of housekeeping and hand-over.
+	tick = 100 * time.Millisecond
+	// batchSize is how many records are taken for hand-over at a time.
+	batchSize = 64
+	// missingLimit is how long a member that can't be reached is waited for before
+	// packets of unknown flows are reset again.
+	missingLimit = 5 * time.Minute
+	// contactLife is how long a member that has left the view is still known.
+	contactLife = 10 * time.Minute
+	// listInterval is the time between two looks at the platform's list of VMs.
+	listInterval = 10 * time.Second
+)
+
+// contacts are the members that this VM has lately had in its view, so that packets
+// of one that has just left are still known.
+type contacts struct {
+	// all is never changed after it has been stored.
+	all atomic.Pointer[map[lhflow.MemberID]contact]
+}
+
+// contact is a member and when it was last in the view.
+type contact struct {
+	lhflow.Member
+	seen time.Duration
+}
+
+func (c *contacts) add(now time.Duration, v *lhflow.View) {
+	next := make(map[lhflow.MemberID]contact, len(v.Members))
+	if old := c.all.Load(); old != nil {
+		for id, m := range *old {
+			if now-m.seen < contactLife {
+				next[id] = m
+			}
+		}
+	}
+	for _, m := range v.Members {
+		next[m.ID] = contact{Member: m, seen: now}
+	}
+	c.all.Store(&next)
+}
+
+func (c *contacts) member(id lhflow.MemberID) (lhflow.Member, bool) {
+	all := c.all.Load()
+	if all == nil {
+		return lhflow.Member{}, false
+	}
+	m, ok := (*all)[id]
+	return m.Member, ok
+}
+
+// setView puts a new view in force.
+func (e *Entry) setView(v *lhflow.View) {
+	now := e.now()
+	e.members.add(now, v)
+	var lost []lhflow.MemberID
+	for _, a := range e.node.Unreachable() {
+		lost = append(lost, a.Member.ID)
+	}
+	e.work.SetView(now, v, lost)
+	e.engine.SetView(now, v)
+}
+
+// watching reports whether this VM watches the store for its data centre.
+func (e *Entry) watching() bool {
+	view := e.node.View()
+	return view == nil || lhstore.Watches(view)
+}
+
+// records takes in what other members hand over.
+type records struct{ entry *Entry }
+
+// Take implements lhpeer.Records.
+func (r records) Take(from lhflow.MemberID, batch []lhflow.Record) {
+	r.entry.engine.Receive(r.entry.now(), from, batch)
+}
+
+// configs shows the configuration in force to peers.
+type configs struct{ *lhstore.Runner }
+
+// Revision implements lhpeer.Configs.
+func (c configs) Revision() lhpeer.Revision {
+	at := c.Position()
+	return lhpeer.Revision{Number: at.Revision, Digest: at.Digest}
+}
+
+// check merges the files of a configuration that operators have had accepted.
+func check(files map[string]string) (lhconf.Config, error) {
+	cfg, _, problems := lhconf.Merge(files)
+	return cfg, problems.Err()
+}
+
+// handOver sends records to the members that lack them, and tells a joining
+// member once it has all that this VM owes it.
+func (e *Entry) handOver(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	told := make(map[lhflow.MemberID]bool)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		view := e.engine.View()
+		for _, m := range view.Members {
+			if m.ID == view.Self || !e.handOverTo(ctx, m.ID) {
+				continue
+			}
+			if m.State != lhflow.Joining || told[m.ID] {
+				continue
+			}
+			told[m.ID] = e.node.Push(ctx, m.ID, nil, true) == nil
+		}
+	}
+}
+
+// handOverTo sends what is pending for a member and reports whether nothing is left.
+func (e *Entry) handOverTo(ctx context.Context, m lhflow.MemberID) bool {
+	for e.engine.Pending(m) > 0 {
+		batch := e.engine.Take(m, batchSize)
+		if err := e.node.Push(ctx, m, batch, false); err != nil {
+			e.engine.Return(m, batch)
+			return false
+		}
+	}
+	return true
+}
+
+// housekeep removes records whose time is over and follows the platform's list of VMs.
+func (e *Entry) housekeep(ctx context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	listed := e.now() - listInterval
+	for part := 0; ; part++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := e.now()
+		e.engine.Expire(now, part)
+		for _, a := range e.node.Unreachable() {
+			if now-a.Since < missingLimit {
+				e.engine.Missing(now)
+			}
+		}
+		if now-listed >= listInterval {
+			listed = now
+			e.readList(ctx)
+		}
+	}
+}
+
+// readList takes contacts from the platform's list of VMs. While the platform
+// does not answer the contacts known already have to do.
+func (e *Entry) readList(ctx context.Context) {
+	view := e.node.View()
+	if view != nil && !lhstore.Watches(view) {
+		return
+	}
+	vms, err := e.store.VMs(ctx)
+	if err != nil {
+		return
+	}
+	e.node.Listed(controlAddresses(vms))
+}
+
+// controlAddresses returns where the VMs of a list serve their peers.
+func controlAddresses(vms []lhstore.VM) []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, len(vms))
+	for _, vm := range vms {
+		if !vm.Leaving && vm.Control.IsValid() {
+			list = append(list, vm.Control)
+		}
+	}
+	return list
+}
--- a/lhentry/place.go
+++ b/lhentry/place.go
@@ -5,30 +5,36 @@
 
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
+	"github.com/laburnumhollow/laburnumhollow/lhwork"
 )
 
-// placer is what the engine asks about servers.
+// placer answers the engine from the configuration in force and from admission.
 type placer struct{ entry *Entry }
 
-// Place implements lhflow.Placer.
-func (p placer) Place(_ time.Duration, id lhflow.ID, key lhflow.Key, tried uint32) lhflow.Placement {
-	service, ok := p.entry.table.Load().Service(key)
-	if !ok {
-		return lhflow.Placement{Reason: lhflow.ReasonNoService}
-	}
-	var best uint32
-	var high float64
-	for _, s := range service.Servers() {
-		score := lhplace.Score(id, s.Number(), float64(s.Weight()))
-		if !s.Serving() || s.Number() == tried || score <= high {
-			continue
+// Place implements lhflow.Placer. A flow that is placed again after its first
+// server stayed silent was admitted before.
+func (p placer) Place(now time.Duration, id lhflow.ID, key lhflow.Key, tried uint32) lhflow.Placement {
+	work := &p.entry.work
+	var d lhwork.Decision
+	if tried == 0 {
+		d = work.Admit(now, lhwork.Unit{Key: key})
+		if !d.Admitted {
+			return lhflow.Placement{Reason: reasonOf(d.Reason)}
 		}
-		best, high = s.Number(), score
 	}
-	if best == 0 {
+	list := [1]uint32{tried}
+	server, ok := work.Choose(now, id, key, list[:])
+	if !ok {
 		return lhflow.Placement{Reason: lhflow.ReasonNoServer}
 	}
-	return lhflow.Placement{Server: best}
+	return lhflow.Placement{Server: server, Work: d.Kind}
+}
+
+func reasonOf(r lhwork.Reason) lhflow.Reason {
+	if r == lhwork.ReasonNoService {
+		return lhflow.ReasonNoService
+	}
+	return lhflow.ReasonRefused
 }
 
 // Holds implements lhflow.Placer.
@@ -44,30 +50,58 @@
 
 // Declared implements lhflow.Placer.
 func (p placer) Declared(server uint32) bool {
-	_, ok := p.entry.table.Load().Server(server)
+	_, ok := p.server(server)
 	return ok
 }
 
 // Accepts implements lhflow.Placer.
 func (p placer) Accepts(server uint32) bool {
-	s, ok := p.entry.table.Load().Server(server)
+	s, ok := p.server(server)
 	return ok && s.Serving()
 }
 
-// Retry implements lhflow.Placer.
-func (p placer) Retry(time.Duration) bool { return true }
-
-// Opened implements lhflow.Placer.
-func (p placer) Opened(time.Duration, uint32, uint16) {}
-
-// Answered implements lhflow.Placer.
-func (p placer) Answered(time.Duration, uint32, time.Duration) {}
+func (p placer) server(number uint32) (*lhplace.Server, bool) {
+	return p.entry.table.Load().Server(number)
+}
 
-// Refused implements lhflow.Placer.
-func (p placer) Refused(time.Duration, uint32) {}
+// Retry implements lhflow.Placer.
+func (p placer) Retry(key lhflow.Key) bool { return p.entry.work.Retry(key) }
 
-// Silent implements lhflow.Placer.
-func (p placer) Silent(time.Duration, uint32) {}
+// Report implements lhflow.Placer.
+func (p placer) Report(now time.Duration, r lhflow.Report) {
+	work := &p.entry.work
+	f := lhwork.Flow{Server: r.Server, Kind: r.Work, Caller: r.Caller, Phase: phaseOf(r)}
+	switch r.Turn {
+	case lhflow.Opened:
+		work.Opened(now, f)
+		if r.State >= lhflow.Complete {
+			// A datagram needs no handshake.
+			f.Phase = lhwork.PhaseOpening
+			work.Established(now, f)
+		}
+	case lhflow.Adopted:
+		work.Adopted(f)
+	case lhflow.Answered:
+		work.Answered(now, f, r.After)
+	case lhflow.Established:
+		work.Established(now, f)
+	case lhflow.Served:
+		work.Served(now, f, r.After)
+	case lhflow.Rejected:
+		work.ServerReset(now, f)
+	case lhflow.Silent:
+		work.Silent(now, f)
+	case lhflow.Ended:
+		work.Closed(now, f)
+	}
+}
 
-// Closed implements lhflow.Placer.
-func (p placer) Closed(time.Duration, uint32, uint16) {}
+func phaseOf(r lhflow.Report) lhwork.Phase {
+	switch {
+	case r.Done:
+		return lhwork.PhaseServed
+	case r.State >= lhflow.Complete:
+		return lhwork.PhaseWaiting
+	}
+	return lhwork.PhaseOpening
+}
--- /dev/null
+++ b/lhentry/state.go
@@ -0,0 +1,148 @@
+package lhentry
+
+import (
+	"fmt"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+	"github.com/laburnumhollow/laburnumhollow/lhwork"
+)
+
+// Health implements lhops.Source.
+func (e *Entry) Health() lhops.Health {
+	switch {
+	case e.leaving.Load():
+		return lhops.Health{State: lhops.Leaving, Reason: "planned stop"}
+	case e.table.Load().Revision() == 0:
+		return lhops.Health{State: lhops.Starting, Reason: "no configuration in force"}
+	case !e.joined():
+		return lhops.Health{State: lhops.Starting, Reason: "joining the group"}
+	}
+	return lhops.Health{State: lhops.Serving}
+}
+
+// joined reports whether the VM owns flows.
+func (e *Entry) joined() bool {
+	view := e.engine.View()
+	self, ok := view.Member(view.Self)
+	return ok && self.State == lhflow.Active
+}
+
+// Dump implements lhops.Source.
+func (e *Entry) Dump() lhops.Dump {
+	at := e.runner.Position()
+	view := e.engine.View()
+	snap := e.work.Snapshot(e.now())
+	return lhops.Dump{
+		VM:         e.settings.Name,
+		DataCentre: e.settings.DataCentre,
+		Group:      e.settings.Group,
+		Health:     e.Health(),
+		Revision:   e.table.Load().Revision(),
+		Digest:     fmt.Sprintf("%016x", at.Digest),
+		View:       view.Version,
+		Members:    memberStates(view),
+		Services:   e.serviceStates(snap),
+		Work:       workStates(snap),
+		Table: lhops.TableState{
+			Flows: uint64(e.engine.Len()),
+			Limit: uint64(e.settings.Flows),
+			Bytes: uint64(e.engine.Len()) * lhflow.RecordBytes,
+		},
+		Counters: e.counters(),
+	}
+}
+
+func memberStates(view *lhflow.View) []lhops.MemberState {
+	list := make([]lhops.MemberState, 0, len(view.Members))
+	for _, m := range view.Members {
+		list = append(list, lhops.MemberState{
+			ID:         m.ID,
+			Name:       m.Name,
+			DataCentre: m.DataCentre,
+			State:      m.State,
+			Data:       m.Data,
+			Control:    m.Control,
+		})
+	}
+	return list
+}
+
+func (e *Entry) serviceStates(snap lhwork.Snapshot) []lhops.ServiceState {
+	table := e.table.Load()
+	held := make(map[string]lhwork.ServiceSnapshot, len(snap.Services))
+	for _, s := range snap.Services {
+		held[s.Name] = s
+	}
+	var list []lhops.ServiceState
+	for _, s := range table.Services() {
+		state := lhops.ServiceState{
+			Name:    s.Name(),
+			Address: s.Address(),
+			Proto:   s.Proto(),
+			Flows:   uint64(held[s.Name()].Held),
+		}
+		for _, b := range held[s.Name()].Servers {
+			state.Servers = append(state.Servers, e.serverState(b))
+		}
+		list = append(list, state)
+	}
+	return list
+}
+
+func (e *Entry) serverState(b lhwork.ServerSnapshot) lhops.ServerState {
+	state := lhops.ServerState{
+		Number: b.Number,
+		Name:   b.Name,
+		Flows:  uint64(b.Held),
+		Limit:  uint64(b.Limit),
+	}
+	if s, ok := e.table.Load().Server(b.Number); ok {
+		state.DataCentre = s.DataCentre()
+		state.State = s.State()
+	}
+	return state
+}
+
+func workStates(snap lhwork.Snapshot) []lhops.WorkState {
+	var list []lhops.WorkState
+	for _, s := range snap.Services {
+		for _, k := range s.Kinds {
+			state := lhops.WorkState{
+				Kind:     k.Name,
+				Service:  s.Name,
+				Flows:    uint64(k.Held),
+				Admitted: k.Admitted,
+			}
+			for _, n := range k.Refused {
+				state.Refused += n
+			}
+			list = append(list, state)
+		}
+	}
+	return list
+}
+
+// counters returns all counters by name.
+func (e *Entry) counters() map[string]uint64 {
+	sums := make(map[string]uint64)
+	for _, w := range e.workers {
+		w.addTo(sums)
+	}
+	c := e.node.Counters()
+	sums["control_bytes_out"] = c.BytesOut
+	sums["control_bytes_in"] = c.BytesIn
+	sums["records_handed_over"] = c.RecordsOut
+	sums["records_received"] = c.RecordsIn
+	sums["peer_pings"] = c.Pings
+	sums["peer_failures"] = c.Failures
+	sums["peer_suspicions"] = c.Suspicions
+	sums["peer_deaths"] = c.Deaths
+	sums["peer_rejoins"] = c.Rejoins
+	sums["view_changes"] = c.Views
+	s := e.runner.State()
+	sums["store_failures"] = s.Counts.Failed
+	sums["store_lower"] = s.Counts.Lower
+	sums["store_parted"] = s.Counts.Parted
+	return sums
+}
--- /dev/null
+++ b/lhentry/stop.go
@@ -0,0 +1,75 @@
+package lhentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+)
+
+// quietTime is how long no packet may have come for the VM to be done.
+const quietTime = time.Second
+
+// stop carries out a planned stop, within the bound of the settings and until
+// kill ends. The health endpoint says at once that the VM leaves.
+func (e *Entry) stop(kill context.Context) {
+	e.leaving.Store(true)
+	e.log.Info().Msg("leaving")
+	ctx, cancel := context.WithTimeout(kill, e.settings.Stop)
+	defer cancel()
+	e.node.Leave()
+	e.await(ctx, e.handedOver)
+	e.node.Left(ctx)
+	e.awaitQuiet(ctx)
+	e.log.Info().Msg("left")
+}
+
+// handedOver reports whether the VM is seen as leaving and owes no member a record.
+func (e *Entry) handedOver() bool {
+	view := e.engine.View()
+	self, ok := view.Member(view.Self)
+	if !ok {
+		return true
+	}
+	if self.State != lhflow.Leaving {
+		return false
+	}
+	for _, m := range view.Members {
+		if e.engine.Pending(m.ID) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitQuiet returns when no packet has come for quietTime, or when ctx ends.
+func (e *Entry) awaitQuiet(ctx context.Context) {
+	last, since := e.received(), e.now()
+	e.await(ctx, func() bool {
+		if n := e.received(); n != last {
+			last, since = n, e.now()
+		}
+		return e.now()-since >= quietTime
+	})
+}
+
+func (e *Entry) received() uint64 {
+	var sum uint64
+	for _, w := range e.workers {
+		sum += w.counts[CountReceived].Load()
+	}
+	return sum
+}
+
+// await returns when the condition holds or ctx ends.
+func (e *Entry) await(ctx context.Context, condition func() bool) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/lhflow/handover.go
+++ b/lhflow/handover.go
@@ -39,6 +39,10 @@
 	}
 }
 
+// Missing says that a member can still not be reached, but may come back. Packets
+// of flows that may live there are left to be repeated.
+func (e *Engine) Missing(now time.Duration) { e.lost.Store(uint32(ticks(now)) | 1) }
+
 // lostMember reports whether an owner of the old view is missing from the new
 // one without having left.
 func lostMember(old, v *View) bool {
--- a/lhflow/owner.go
+++ b/lhflow/owner.go
@@ -210,7 +210,6 @@
 	abandoned := en.server
 	e.tell(ev.Now, Silent, &en, ev.Key.Caller)
 	en.server = p.Server
-	en.work = p.Work
 	en.opened = ticks(ev.Now)
 	en.attempt++
 	e.tell(ev.Now, Opened, &en, ev.Key.Caller)
--- a/lhflow/table.go
+++ b/lhflow/table.go
@@ -76,6 +76,9 @@
 	served
 )
 
+// RecordBytes is what a record takes in the table at half a million, in bytes.
+const RecordBytes = 96
+
 // entry is the record of a flow in the table. It holds no pointer and is kept
 // small, for a VM holds hundreds of thousands.
 type entry struct {
--- a/lhplace/server.go
+++ b/lhplace/server.go
@@ -40,5 +40,8 @@
 // Flows returns how many flows the server holds at most; 0 is no limit.
 func (s *Server) Flows() uint32 { return s.declared.Flows }
 
+// State returns what operators want of the server.
+func (s *Server) State() lhconf.State { return s.declared.State }
+
 // Serving reports whether the server takes new flows.
 func (s *Server) Serving() bool { return s.declared.State == lhconf.Serving }
