--- a/cmd/laburnumhollow/check.go
+++ b/cmd/laburnumhollow/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strings"
@@ -18,18 +19,22 @@
 }
 
 func newCheckCommand(p *printer) *cobra.Command {
-	return &cobra.Command{
+	var url string
+	c := &cobra.Command{
 		Use:   "check FOLDER",
 		Short: "Check a configuration folder and show where each value comes from",
 		Long: `Check a configuration folder without changing anything.
 
 The folder's *.ini files are merged in the order of their names. Each merged value
 is printed with the file and line that it comes from, and the lines whose values
-it replaced. Where there are problems, all of them are printed instead.`,
+it replaced. Where there are problems, all of them are printed instead.
+
+A folder that holds one team's files only is checked with --platform: then the
+folder's changes are merged into the configuration in force, as apply would.`,
 		Example: "  laburnumhollow check examples/kiritori\n  laburnumhollow check examples/kiritori -o json",
 		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			files, err := lhconf.ReadFolder(args[0])
+		RunE: func(cmd *cobra.Command, args []string) error {
+			files, err := filesToCheck(cmd.Context(), args[0], url)
 			if err != nil {
 				return err
 			}
@@ -41,6 +46,18 @@
 			return p.result(result, func(w io.Writer) { writeCheck(w, result) })
 		},
 	}
+	c.Flags().StringVar(&url, "platform", "", "URL of the platform's key-value service; check together with what is in force")
+	return c
+}
+
+// filesToCheck returns the files of a folder, or those that would be in force
+// after an apply of the folder where url names a platform.
+func filesToCheck(ctx context.Context, dir, url string) (map[string]string, error) {
+	if url == "" {
+		return lhconf.ReadFolder(dir)
+	}
+	f, err := openFolder(ctx, &platform{url: url}, dir)
+	return changed(f.now.Files(), f.changes), err
 }
 
 func writeCheck(w io.Writer, r checkResult) {
--- /dev/null
+++ b/cmd/laburnumhollow/drain.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+	"github.com/spf13/cobra"
+)
+
+// A drain is a file of its own, so that it meets no change of the teams' files. Its
+// name sorts behind theirs, so that its value replaces theirs.
+const (
+	drainPrefix = "zz-drain-"
+	drainSuffix = ".ini"
+)
+
+// drainFile returns the name of the file that drains a server.
+func drainFile(server string) string { return drainPrefix + server + drainSuffix }
+
+// drainText returns the contents of the file that drains a server.
+func drainText(server string) string {
+	return fmt.Sprintf("# Written by laburnumhollow drain; restore removes it.\n[server %s]\nstate = %v\n", server, lhconf.Draining)
+}
+
+// drainedServer returns the server that a file of this name drains.
+func drainedServer(file string) (string, bool) {
+	server, ok := strings.CutPrefix(file, drainPrefix)
+	if !ok {
+		return "", false
+	}
+	return strings.CutSuffix(server, drainSuffix)
+}
+
+func newDrainCommand(p *printer) *cobra.Command {
+	return newServerCommand(p, drain, &cobra.Command{
+		Use:   "drain NAME --platform URL",
+		Short: "Give a backend server no new flows",
+		Long: `Give a backend server no new flows. Those it has go on until they end; dump tells
+when the last one has. The drain is a file of its own in the configuration in
+force, so it meets no other change.`,
+		Example: "  laburnumhollow drain cutdesk-03 --platform http://10.40.0.9:8500",
+	})
+}
+
+func newRestoreCommand(p *printer) *cobra.Command {
+	return newServerCommand(p, restore, &cobra.Command{
+		Use:     "restore NAME --platform URL",
+		Short:   "Give a drained backend server new flows again",
+		Long:    "Give a drained backend server new flows again by removing the file that drain wrote.",
+		Example: "  laburnumhollow restore cutdesk-03 --platform http://10.40.0.9:8500",
+	})
+}
+
+// serverChange changes the configuration in force for the sake of one server.
+type serverChange func(ctx context.Context, pl *platform, server string) (applyResult, error)
+
+// newServerCommand completes a command that changes one server.
+func newServerCommand(p *printer, change serverChange, c *cobra.Command) *cobra.Command {
+	var pl platform
+	c.Args = cobra.ExactArgs(1)
+	c.RunE = func(cmd *cobra.Command, args []string) error {
+		result, err := change(cmd.Context(), &pl, args[0])
+		if err != nil {
+			return err
+		}
+		return p.result(result, func(w io.Writer) { writeApply(w, result) })
+	}
+	pl.addTo(c)
+	pl.addGuard(c)
+	return c
+}
+
+// drain adds the file that drains a server to the configuration in force.
+func drain(ctx context.Context, pl *platform, server string) (applyResult, error) {
+	now, err := lhstore.Open(ctx, pl.store())
+	if err != nil {
+		return applyResult{}, err
+	}
+	if _, err := serverState(&now, server); err != nil {
+		return applyResult{}, err
+	}
+	file := lhstore.FileChange{FileText: lhstore.FileText{Name: drainFile(server), Text: drainText(server)}}
+	if text, ok := now.File(file.Name); ok {
+		file.Base = lhstore.Hash(text)
+	}
+	return applyChange(ctx, pl, lhstore.Change{Files: []lhstore.FileChange{file}})
+}
+
+// restore removes the file that drains a server from the configuration in force.
+func restore(ctx context.Context, pl *platform, server string) (applyResult, error) {
+	now, err := lhstore.Open(ctx, pl.store())
+	if err != nil {
+		return applyResult{}, err
+	}
+	state, err := serverState(&now, server)
+	if err != nil {
+		return applyResult{}, err
+	}
+	text, drained := now.File(drainFile(server))
+	if !drained && state.Value == lhconf.Draining.String() {
+		return applyResult{}, lhcode.Newf(lhcode.Conflict, "%s drains server %s and restore does not change that file; apply it with another state", state.Origin, server)
+	}
+	removal := lhstore.FileChange{
+		FileText: lhstore.FileText{Name: drainFile(server), Removed: true},
+		Base:     lhstore.Hash(text),
+	}
+	return applyChange(ctx, pl, lhstore.Change{Files: []lhstore.FileChange{removal}})
+}
+
+// serverState returns where the state of a declared server is written; its zero
+// value where the state is left to its default.
+func serverState(now *lhstore.Snapshot, server string) (lhconf.MergedValue, error) {
+	config, origins, _ := lhconf.Merge(now.Files())
+	declared := slices.ContainsFunc(config.Servers, func(s lhconf.BackendServer) bool { return s.Name == server })
+	if !declared {
+		return lhconf.MergedValue{}, lhcode.Newf(lhcode.NotFound, "no backend server %q in revision %d", server, now.Position().Revision)
+	}
+	for _, v := range origins {
+		if v.Section == "server "+server && v.Key == "state" {
+			return v, nil
+		}
+	}
+	return lhconf.MergedValue{}, nil
+}
+
+// staleDrains returns the removal of each drain in force whose server is declared
+// no more after changes: the usual end of a server is drain, then removal.
+func staleDrains(inForce map[string]string, changes []lhstore.FileChange) []lhstore.FileChange {
+	after := changed(inForce, changes)
+	maps.DeleteFunc(after, func(name, _ string) bool {
+		_, ok := drainedServer(name)
+		return ok
+	})
+	config, _, _ := lhconf.Merge(after)
+	declared := make(map[string]bool)
+	for _, s := range config.Servers {
+		declared[s.Name] = true
+	}
+	var stale []lhstore.FileChange
+	for _, name := range slices.Sorted(maps.Keys(inForce)) {
+		server, ok := drainedServer(name)
+		if !ok || declared[server] || mentions(changes, name) {
+			continue
+		}
+		removal := lhstore.FileText{Name: name, Removed: true}
+		stale = append(stale, lhstore.FileChange{FileText: removal, Base: lhstore.Hash(inForce[name])})
+	}
+	return stale
+}
+
+// mentions reports whether changes hold a file.
+func mentions(changes []lhstore.FileChange, name string) bool {
+	return slices.ContainsFunc(changes, func(c lhstore.FileChange) bool { return c.Name == name })
+}
--- /dev/null
+++ b/cmd/laburnumhollow/show.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+	"github.com/spf13/cobra"
+)
+
+// showResult is the configuration in force and where it is in force.
+type showResult struct {
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest"`
+	// Apply identifies the change that made the revision.
+	Apply  string        `json:"apply"`
+	Config lhconf.Config `json:"config"`
+	VMs    []vmStatus    `json:"vms"`
+	// Current is how many of VMs have this very revision in force.
+	Current int `json:"current"`
+}
+
+func newShowCommand(p *printer) *cobra.Command {
+	var pl platform
+	c := &cobra.Command{
+		Use:   "show --platform URL",
+		Short: "Show the configuration in force and on which VMs it is",
+		Long: `Show the configuration that was accepted last, and the revision that each VM has
+in force. VMs are those of the platform's list, which lags behind, or those given
+by --vm. While the platform gives no answer, the VMs given by --vm are shown alone.`,
+		Example: "  laburnumhollow show --platform http://10.40.0.9:8500 -o json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := show(cmd.Context(), &pl)
+			if err != nil && len(result.VMs) == 0 {
+				return err
+			}
+			if failed := p.result(result, func(w io.Writer) { writeShow(w, result) }); failed != nil {
+				return failed
+			}
+			return err
+		},
+	}
+	pl.addTo(c)
+	return c
+}
+
+// show asks the platform and the VMs. With an error it returns what it has learned.
+func show(ctx context.Context, pl *platform) (showResult, error) {
+	var r showResult
+	now, err := lhstore.Open(ctx, pl.store())
+	if err == nil {
+		r.Revision, r.Digest, r.Apply = now.Position().Revision, digestText(now.Position()), now.Apply()
+		r.Config, err = now.Config(lhconf.Check)
+	}
+	addresses, failed := pl.addresses(ctx)
+	if err == nil {
+		err = failed
+	}
+	r.VMs = askStatus(ctx, addresses, pl.timeout)
+	for _, vm := range r.VMs {
+		if vm.Status != nil && r.Revision > 0 && positionOf(vm) == now.Position() {
+			r.Current++
+		}
+	}
+	return r, err
+}
+
+func writeShow(w io.Writer, r showResult) {
+	if r.Revision > 0 {
+		fmt.Fprintf(w, "revision %d %s, accepted by change %s\n", r.Revision, r.Digest, r.Apply)
+		writeConfig(w, r.Config)
+	}
+	if r.Revision > 0 {
+		fmt.Fprintf(w, "\nin force on %d of %d VMs\n", r.Current, len(r.VMs))
+	}
+	if len(r.VMs) > 0 {
+		writeStatus(w, r.VMs)
+	}
+}
+
+func writeConfig(w io.Writer, c lhconf.Config) {
+	fmt.Fprint(w, "\nservice\taddress\tproto\n")
+	for _, s := range c.Services {
+		fmt.Fprintf(w, "%s\t%v\t%v\n", s.Name, s.Address, s.Proto)
+	}
+	fmt.Fprint(w, "\nserver\tnumber\tservice\tdata centre\taddress\tweight\tslots\tflows\tstate\n")
+	for _, s := range c.Servers {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%v\t%d\t%d\t%d\t%v\n", s.Name, s.Number, s.Service, s.DataCentre, s.Address, s.Weight, s.Slots, s.Flows, s.State)
+	}
+	fmt.Fprint(w, "\nkind\tservice\tcallers\turgency\tshare\tflows\n")
+	for _, k := range c.Kinds {
+		callers := "all"
+		if k.Callers.IsValid() {
+			callers = k.Callers.String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d%%\t%d\n", k.Name, k.Service, callers, k.Urgency, k.Share, k.Flows)
+	}
+}
--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -46,7 +46,7 @@
 	RevisionLower Code = 204
 	// LeaseLost is a lease that lapsed before its holder acted.
 	LeaseLost Code = 205
-	// NotFound is a key, server or revision that does not exist.
+	// NotFound is a key, file, server or revision that does not exist.
 	NotFound Code = 206
 	// PreconditionFailed is a conditional write to a key that had changed meanwhile.
 	PreconditionFailed Code = 207
@@ -57,6 +57,7 @@
 	PeerUnknown Code = 602
 	// PeerReplaced is a member whose VM has since been started anew.
 	PeerReplaced Code = 603
+
 	// Unreachable is an entry process that gave no answer to an operator.
 	Unreachable Code = 701
 	// NotServing is an entry process that starts or leaves and takes no packets.
--- a/lhconf/folder.go
+++ b/lhconf/folder.go
@@ -12,7 +12,8 @@
 const fileSuffix = ".ini"
 
 // ReadFolder returns the texts of a folder's configuration files by their names.
-// Other files, hidden ones and folders within are passed over.
+// Other files, hidden ones and folders within are passed over. The error has
+// lhcode.NotFound where the folder holds no configuration file.
 func ReadFolder(dir string) (map[string]string, error) {
 	entries, err := os.ReadDir(dir)
 	if err != nil {
@@ -30,7 +31,7 @@
 		files[e.Name()] = string(text)
 	}
 	if len(files) == 0 {
-		return nil, lhcode.Newf(lhcode.FileUnreadable, "folder %s holds no %s file", dir, fileSuffix)
+		return nil, lhcode.Newf(lhcode.NotFound, "folder %s holds no %s file", dir, fileSuffix)
 	}
 	return files, nil
 }
--- a/lhconf/merge.go
+++ b/lhconf/merge.go
@@ -46,6 +46,16 @@
 	return config, origins(sections), problems
 }
 
+// Check returns the configuration that files merge into, or an error that carries
+// every problem found.
+func Check(files map[string]string) (Config, error) {
+	config, _, problems := Merge(files)
+	if len(problems) > 0 {
+		return Config{}, problems.Err()
+	}
+	return config, nil
+}
+
 // The kinds of sections.
 const (
 	serviceSection = "service"
--- a/lhconf/merge_test.go
+++ b/lhconf/merge_test.go
@@ -152,7 +152,7 @@
 		{"../examples/kiritori", 5, lhcode.OK},
 		{"../examples/cevallos", 5, lhcode.OK},
 		{"../examples/absent", 0, lhcode.FileUnreadable},
-		{"../examples", 0, lhcode.FileUnreadable},
+		{"../examples", 0, lhcode.NotFound},
 	}
 	for _, c := range cases {
 		t.Run(c.dir, func(t *testing.T) {
