--- a/lhstore/apply.go
+++ b/lhstore/apply.go
@@ -116,7 +116,7 @@
 
 // open reads the head and brings held up to it.
 func (a *Applier) open(ctx context.Context, held *Snapshot) (head, error) {
-	before, err := readHead(ctx, a.store)
+	before, err := ensureHead(ctx, a.store)
 	if err != nil {
 		return head{}, err
 	}
--- a/lhstore/compact.go
+++ b/lhstore/compact.go
@@ -125,19 +125,17 @@
 // before them, where an earlier compaction or a restore has left off.
 func (c *Compactor) needed(ctx context.Context, at Position) (map[string]bool, error) {
 	keys := map[string]bool{}
-	for n := uint64(0); n < c.retained && at.Revision > 0; n++ {
-		m, err := readManifest(ctx, c.store, at)
-		if lhcode.Of(err) == lhcode.NotFound && n > 0 {
+	for l, err := range chain(ctx, c.store, at) {
+		if len(keys) > 0 && lhcode.Of(err) == lhcode.NotFound || at.Revision-l.At.Revision >= c.retained {
 			break
 		}
 		if err != nil {
 			return nil, err
 		}
-		keys[manifestKey(at)] = true
-		for _, hash := range m.Pages {
+		keys[manifestKey(l.At)] = true
+		for _, hash := range l.Manifest.Pages {
 			keys[pageKey(hash)] = true
 		}
-		at = m.before()
 	}
 	return keys, nil
 }
--- a/lhstore/head.go
+++ b/lhstore/head.go
@@ -54,6 +54,21 @@
 	return decodeHead(value)
 }
 
+// ensureHead returns the head, and writes an empty one first where there is none.
+// So each swap that accepts a revision names the write that it replaces, and none
+// succeeds on a store that lost everything after the revision's pages were written.
+func ensureHead(ctx context.Context, store Store) (head, error) {
+	now, err := readHead(ctx, store)
+	if err != nil || now.etag != "" {
+		return now, err
+	}
+	err = swapHead(ctx, store, now, now)
+	if err != nil && lhcode.Of(err) != lhcode.PreconditionFailed {
+		return head{}, lhcode.Wrap(lhcode.StoreUnavailable, err, "not done: write an empty head")
+	}
+	return readHead(ctx, store)
+}
+
 func decodeHead(value Value) (head, error) {
 	var h head
 	if err := json.Unmarshal(value.Data, &h); err != nil {
--- a/lhstore/lookup.go
+++ b/lhstore/lookup.go
@@ -61,19 +61,21 @@
 // find walks the chain from the head back to the ticket's base. It returns the
 // zero Position when the change is not on it.
 func (a *Applier) find(ctx context.Context, now head, ticket Ticket) (Position, error) {
-	at := now.Position
-	for at.Revision > ticket.Base.Revision {
-		m, err := readManifest(ctx, a.store, at)
+	last := now.Position
+	for l, err := range chain(ctx, a.store, now.Position) {
+		if l.At.Revision <= ticket.Base.Revision {
+			break
+		}
 		if err != nil {
 			return Position{}, err
 		}
-		if m.Apply == ticket.ID {
-			return at, nil
+		if l.Manifest.Apply == ticket.ID {
+			return l.At, nil
 		}
-		at = m.before()
+		last = l.Manifest.before()
 	}
 	// A store that returned to an older state says nothing on what was accepted.
-	if at != ticket.Base || now.Turn < ticket.Turn || now.Turn == ticket.Turn && ticket.differs(now) {
+	if last != ticket.Base || now.Turn < ticket.Turn || now.Turn == ticket.Turn && ticket.differs(now) {
 		return Position{}, lhcode.New(lhcode.RevisionLower, "the store's chain doesn't hold the change's base")
 	}
 	return Position{}, a.guard(ctx, now.Position)
--- a/lhstore/parcel.go
+++ b/lhstore/parcel.go
@@ -25,12 +25,6 @@
 	Pages []page    `json:"pages,omitempty"`
 }
 
-// link is a revision's changes with the position they lead to.
-type link struct {
-	At       Position `json:"at"`
-	Manifest Manifest `json:"manifest"`
-}
-
 // open returns the snapshot that the parcel leads to from held.
 func (p *parcel) open(held *Snapshot) (Snapshot, error) {
 	if p.Whole != nil {
--- a/lhstore/restore.go
+++ b/lhstore/restore.go
@@ -14,7 +14,7 @@
 // become the next revision, so that all VMs agree again. A higher head is left
 // alone: VMs take it by themselves.
 func Restore(ctx context.Context, store Store, id string, held *Snapshot) (Position, error) {
-	before, err := readHead(ctx, store)
+	before, err := ensureHead(ctx, store)
 	if err != nil {
 		return Position{}, err
 	}
