lhstand: put load on a service and record how its flows went

Cause: tests and operators need many flows at once with typed results. A Load names flows, rate, requests and hold times; its result counts outcomes, requests by server and service, and records opening and answer times in HdrHistogram.

--- a/lhstand/endpoint.go
+++ b/lhstand/endpoint.go
@@ -124,9 +124,9 @@
 	e.pump(now)
 }
 
-// abort resets the connection.
+// abort resets the connection, unless both ends have closed it.
 func (e *endpoint) abort() {
-	if e.state == ended {
+	if e.state >= timeWait {
 		return
 	}
 	e.emit(lhflow.RST|lhflow.ACK, e.next, nil)
--- /dev/null
+++ b/lhstand/load_test.go
@@ -0,0 +1,65 @@
+package lhstand
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+)
+
+func TestLoad(t *testing.T) {
+	cases := []struct {
+		name     string
+		load     Load
+		outcome  Outcome
+		requests int
+		behavior Behavior
+	}{
+		{"one flow", Load{Flows: 1}, Whole, 1, Behavior{}},
+		{"parallel", Load{Flows: 100, Parallel: 20, Requests: 2, Request: Request{Bytes: 3000}}, Whole, 200, Behavior{}},
+		{"paced", Load{Flows: 20, Parallel: 20, Rate: 1000, Hold: time.Millisecond}, Whole, 20, Behavior{}},
+		{"feeds", Load{Flows: 5, Parallel: 5, Request: Request{ID: "feed", Lines: 3, Gap: time.Millisecond}}, Whole, 5, Behavior{}},
+		{"datagrams", Load{Flows: 20, Parallel: 4, Proto: lhflow.UDP}, Whole, 20, Behavior{}},
+		{"refused", Load{Flows: 10, Parallel: 5}, Refused, 0, Behavior{Refusing: true}},
+		{"silent", Load{Flows: 5, Parallel: 5, Patience: 10 * time.Millisecond}, TimedOut, 0, Behavior{Silent: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := &BackendServer{Name: "s1", Service: "cutdesk"}
+			fabric := startAll(t, server, 2)
+			server.Set(func(b *Behavior) { *b = c.behavior })
+			c.load.Service = service
+			result := c.load.Run(context.Background(), fabric)
+			assert.Equal(t, result.Outcomes[c.outcome], c.load.Flows)
+			assert.Equal(t, result.Flows(), c.load.Flows)
+			assert.Equal(t, result.Requests, c.requests)
+			assert.Equal(t, result.Services["cutdesk"], c.requests)
+			assert.Equal(t, int(result.Latency.TotalCount()), c.requests)
+			var text strings.Builder
+			_, err := result.WriteTo(&text)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(text.String(), c.outcome.String()))
+		})
+	}
+}
+
+func TestLoadStopsWithItsContext(t *testing.T) {
+	fabric := startAll(t, &BackendServer{Name: "s1", Service: "cutdesk"}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	result := Load{Service: service, Flows: 10}.Run(ctx, fabric)
+	assert.Equal(t, result.Flows(), 0)
+}
+
+func TestCallersOfFlowsDiffer(t *testing.T) {
+	run := loadRun{Load: Load{}.withDefaults()}
+	seen := make(map[string]bool)
+	for flow := range 2*portCount + 1 {
+		seen[run.caller(flow).String()] = true
+	}
+	assert.Equal(t, len(seen), 2*portCount+1)
+}
