--- /dev/null
+++ b/cmd/laburnumhollow/fleet_test.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+	"github.com/laburnumhollow/laburnumhollow/lhstand"
+)
+
+// commandVariable makes the test binary act as the program itself.
+const commandVariable = "LABURNUMHOLLOW_COMMAND"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(commandVariable) != "" {
+		os.Exit(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// patience bounds how long a test waits for a condition; it asserts no speed.
+const patience = 60 * time.Second
+
+// Addresses of the fleet; the last byte counts.
+const (
+	fabricAddress = "127.0.1.1:0"
+	vmHost        = "127.0.2.%d:0"
+	serverHost    = "127.0.3.%d:0"
+	cutdesk       = "10.9.0.1:80"
+	proofbox      = "10.9.0.2:80"
+)
+
+// fleet is a group of entry processes between stand-ins in the test's process.
+type fleet struct {
+	t        *testing.T
+	dir      string
+	platform lhstand.Platform
+	fabric   lhstand.Fabric
+	servers  map[string]*lhstand.BackendServer
+	vms      []*process
+	callers  int
+}
+
+// process is one entry VM.
+type process struct {
+	name    string
+	command *exec.Cmd
+	data    netip.AddrPort
+	control string
+	ops     string
+	ended   chan error
+	log     *logBuffer
+}
+
+// logBuffer keeps what a process has logged.
+type logBuffer struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// newFleet starts stand-ins and VMs, one in each of the named data centres, with
+// the configuration of two services in force.
+func newFleet(t *testing.T, dataCentres ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), servers: map[string]*lhstand.BackendServer{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	assert.NilError(t, f.platform.Start())
+	t.Cleanup(func() { _ = f.platform.Close() })
+	f.fabric.Seed = 1
+	f.fabric.CountFlows = true
+	assert.NilError(t, f.fabric.Start(ctx, netip.MustParseAddrPort(fabricAddress)))
+	f.write("10-services.ini", fmt.Sprintf("[service cutdesk]\naddress = %s\nproto = tcp\n\n[service proofbox]\naddress = %s\nproto = tcp\n", cutdesk, proofbox))
+	for i := range 4 {
+		f.addServer(ctx, "cutdesk", i+1, dataCentres[i%len(dataCentres)])
+	}
+	f.addServer(ctx, "proofbox", 5, dataCentres[0])
+	f.addServer(ctx, "proofbox", 6, dataCentres[len(dataCentres)-1])
+	f.apply()
+	for _, dc := range dataCentres {
+		f.startVM(dc)
+	}
+	f.awaitReady()
+	return f
+}
+
+func (f *fleet) write(name, text string) {
+	assert.NilError(f.t, os.MkdirAll(filepath.Join(f.dir, "conf"), 0o755))
+	assert.NilError(f.t, os.WriteFile(filepath.Join(f.dir, "conf", name), []byte(text), 0o600))
+}
+
+func (f *fleet) addServer(ctx context.Context, service string, n int, dc string) {
+	name := fmt.Sprintf("%s-%d", service, n)
+	s := &lhstand.BackendServer{Name: name, Service: service, Seed: uint64(n)}
+	assert.NilError(f.t, s.Start(ctx, netip.MustParseAddrPort(fmt.Sprintf(serverHost, n))))
+	f.servers[name] = s
+	f.write("20-"+name+".ini", fmt.Sprintf(
+		"[server %s]\nservice = %s\naddress = %v\ndatacentre = %s\nslots = 2\nflows = 2000\n", name, service, s.Address(), dc))
+}
+
+// apply has the folder accepted by the command line.
+func (f *fleet) apply() {
+	f.t.Helper()
+	code, stdout, stderr := runCLI(f.t, "apply", filepath.Join(f.dir, "conf"), "--platform", f.platform.URL())
+	assert.Equal(f.t, code, exitDone, "%s%s", stdout, stderr)
+}
+
+func (f *fleet) startVM(dc string) *process {
+	f.t.Helper()
+	n := len(f.vms) + 1
+	p := &process{name: fmt.Sprintf("%s-%d", dc, n), ended: make(chan error, 1), log: &logBuffer{}}
+	contact := ""
+	for _, vm := range f.running() {
+		contact = "[peers]\ncontact = " + vm.control + "\n"
+		break
+	}
+	address := fmt.Sprintf(vmHost, n)
+	settings := fmt.Sprintf(`[vm]
+name = %s
+datacentre = %s
+group = hokkaido
+seed = 5f1d0c6e8a7b49239d4c1e2f30a5b687
+[listen]
+data = %s
+control = %s
+ops = %s
+[fabric]
+from = %v
+to = %v
+%s[platform]
+url = %s
+[limits]
+workers = 2
+[times]
+stop = 20s
+heartbeat = 200ms
+suspect = 1s
+`, p.name, dc, address, address, address, f.fabric.Address().Addr(), f.fabric.Address(), contact, f.platform.URL())
+	path := writeFile(f.t, f.dir, p.name+".ini", settings)
+	p.command = exec.Command(os.Args[0], "entry", "--settings", path)
+	p.command.Env = append(os.Environ(), commandVariable+"=1")
+	stderr, err := p.command.StderrPipe()
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, p.command.Start())
+	listening := make(chan struct{})
+	go p.read(stderr, listening)
+	f.t.Cleanup(func() {
+		_ = p.command.Process.Kill()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", p.name, p.log.String())
+		}
+	})
+	select {
+	case <-listening:
+	case <-time.After(patience):
+		f.t.Fatalf("%s does not listen:\n%s", p.name, p.log.String())
+	}
+	f.vms = append(f.vms, p)
+	return p
+}
+
+// read keeps the log of the process and takes its addresses from it.
+func (p *process) read(r io.Reader, listening chan<- struct{}) {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		p.log.add(lines.Bytes())
+		var line struct{ Message, Data, Control, Ops string }
+		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Message != "listening" {
+			continue
+		}
+		p.data = netip.MustParseAddrPort(line.Data)
+		p.control = line.Control
+		p.ops = line.Ops
+		close(listening)
+	}
+	p.ended <- p.command.Wait()
+	close(p.ended)
+}
+
+func (b *logBuffer) add(line []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.text = append(append(b.text, line...), '\n')
+}
+
+// String returns the log so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return string(b.text)
+}
+
+// running returns the VMs whose process has not ended.
+func (f *fleet) running() []*process {
+	var list []*process
+	for _, p := range f.vms {
+		select {
+		case <-p.ended:
+		default:
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// route points fabric and servers at the given VMs, as the platform does after
+// its health checks.
+func (f *fleet) route(vms ...*process) {
+	var list []netip.AddrPort
+	for _, p := range vms {
+		list = append(list, p.data)
+	}
+	f.fabric.SetMembers(list...)
+	for _, s := range f.servers {
+		s.SetMembers(list...)
+	}
+}
+
+// awaitReady waits until all running VMs are ready and see each other, and
+// routes packets to them.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	vms := f.running()
+	for _, p := range vms {
+		f.awaitDump(p, "ready", func(d lhops.Dump) bool {
+			active := 0
+			for _, m := range d.Members {
+				if m.State.String() == "active" {
+					active++
+				}
+			}
+			return d.Health.Ready() && active == len(vms) && len(d.Members) == len(vms)
+		})
+	}
+	f.route(vms...)
+}
+
+// awaitDump waits until the dump of a VM meets a condition.
+func (f *fleet) awaitDump(p *process, what string, met func(lhops.Dump) bool) lhops.Dump {
+	f.t.Helper()
+	var last lhops.Dump
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		d, err := p.dump(f.t.Context())
+		if err != nil {
+			return poll.Continue("%s: %v", p.name, err)
+		}
+		last = d
+		if !met(d) {
+			return poll.Continue("%s is not %s: %v revision %d members %v", p.name, what, d.Health, d.Revision, d.Members)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience), poll.WithDelay(50*time.Millisecond))
+	return last
+}
+
+func (p *process) dump(ctx context.Context) (lhops.Dump, error) {
+	client, err := lhops.NewClient("http://"+p.ops, &http.Client{Timeout: 5 * time.Second})
+	if err != nil {
+		return lhops.Dump{}, err
+	}
+	return client.Dump(ctx, "")
+}
+
+// signal sends a signal to the process, which the test has started itself.
+func (f *fleet) signal(p *process, s syscall.Signal) {
+	f.t.Helper()
+	assert.NilError(f.t, p.command.Process.Signal(s))
+}
+
+// awaitEnd waits until the process has ended and returns how.
+func (f *fleet) awaitEnd(p *process) error {
+	f.t.Helper()
+	select {
+	case err := <-p.ended:
+		return err
+	case <-time.After(patience):
+		f.t.Fatalf("%s does not end", p.name)
+	}
+	return nil
+}
+
+// dial opens a connection from a new caller.
+func (f *fleet) dial(service string) *lhstand.Conn {
+	f.t.Helper()
+	f.callers++
+	caller := netip.AddrPortFrom(netip.MustParseAddr("192.0.2.7"), uint16(10000+f.callers))
+	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+	f.t.Cleanup(cancel)
+	c, err := f.fabric.Dial(ctx, caller, netip.MustParseAddrPort(service))
+	assert.NilError(f.t, err)
+	return c
+}
+
+// ask sends a request on a connection and checks who answers it.
+func (f *fleet) ask(c *lhstand.Conn, id, service string) lhstand.Reply {
+	f.t.Helper()
+	reply, err := lhstand.Request{ID: id, Bytes: 5000}.Do(c)
+	assert.NilError(f.t, err, id)
+	assert.Equal(f.t, reply.Service, service)
+	return reply
+}
