lhpeer: compare entries in pages when digests keep differing

Cause: a member that joined on one side of a cut stayed unknown to the other side after the cut had healed. The news of it was used up, and a member that agreed with every second peer never counted enough differences in succession to ask for entries. Ruled out: news that is kept longer, which only moves the limit. Now differences add up over peers and the pages go both ways.

--- a/lhpeer/gossip.go
+++ b/lhpeer/gossip.go
@@ -18,9 +18,12 @@
 	pageSize = 16
 	// fanout is how many members hear at once of a change that must not wait.
 	fanout = 3
-	// apartLimit is how many exchanges may differ in digest before a member asks
-	// for all entries; changes that are on their way differ for less.
-	apartLimit = 4
+	// apartStep is what an exchange with another digest adds to how far a member
+	// is apart from its group; one with the same digest takes 1 away. From
+	// apartLimit on, which changes on their way do not reach, it compares entries.
+	apartStep  = 2
+	apartLimit = 8
+	apartMax   = 2 * apartLimit
 	// strangerEvery is how many periods pass between pings to members that are
 	// unreachable, and contactEvery between those to contacts that are no member.
 	strangerEvery = 4
@@ -194,9 +197,14 @@
 func (m *Membership) request(p *peer) Request {
 	m.counts.Pings++
 	r := Request{To: p.ID, Control: p.Control, Message: m.message(p.ID)}
-	if !m.settled() || m.apart >= apartLimit {
+	if !m.settled() {
+		r.Message.Sync = true
+		r.Message.After = m.cursor
+	} else if m.apart >= apartLimit {
 		r.Message.Sync = true
 		r.Message.After = m.cursor
+		page, _ := m.page(m.cursor)
+		r.Message.Entries = append(r.Message.Entries, page...)
 	}
 	return r
 }
@@ -267,10 +275,10 @@
 // compare notes whether another member holds the same view.
 func (m *Membership) compare(p *peer, digest uint64) {
 	if digest != m.digest() {
-		m.apart++
+		m.apart = min(m.apart+apartStep, apartMax)
 		return
 	}
-	m.apart = 0
+	m.apart = max(m.apart-1, 0)
 	m.met = true
 	m.agreed = m.agreed || p.owner()
 }
--- a/lhpeer/membership.go
+++ b/lhpeer/membership.go
@@ -43,7 +43,7 @@
 	met bool
 	// agreed is set once it agreed with that of a member that owns flows.
 	agreed bool
-	// apart counts exchanges in succession whose digests differed.
+	// apart grows with exchanges whose digests differ, and shrinks with the others.
 	apart int
 	// cursor is where the next page of entries begins.
 	cursor lhflow.MemberID
