lhconf: read plain lines directly

Ruled out: calling the library once a file, which gives no line numbers and takes values over several lines that a line-wise reading refuses. Change: lines without special characters are read directly, and a property test holds that reading against the library's; the others still go to the library. Duplicate keys are looked for within the section, and Check builds no origins.

A section [DEFAULT] is reported as unknown; its keys went to the section above. Merge is held against the library's own loading of several files.

--- a/lhconf/field.go
+++ b/lhconf/field.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"net/url"
-	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -178,18 +177,31 @@
 	}
 }
 
-// namePattern is the form of every name that operators choose.
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+// maxName is the length of the longest name, as in DNS labels.
+const maxName = 63
 
 const nameAllowed = "a name of 1 to 63 lower-case letters, digits and inner hyphens"
 
+// isName reports whether a text has the form of every name that operators choose.
+func isName(text string) bool {
+	for i := range len(text) {
+		c := text[i]
+		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		inner := i > 0 && i < len(text)-1
+		if !letter && !(c == '-' && inner) {
+			return false
+		}
+	}
+	return text != "" && len(text) <= maxName
+}
+
 // nameField reads a name.
 func nameField[T any](key string, at func(*T) *string) field[T] {
 	return field[T]{
 		key:     key,
 		allowed: nameAllowed,
 		set: func(t *T, value string) lhcode.Code {
-			if !namePattern.MatchString(value) {
+			if !isName(value) {
 				return lhcode.SettingInvalid
 			}
 			*at(t) = value
@@ -287,20 +299,18 @@
 // key that is absent.
 func fill[T any](t *T, fields []field[T], sec section) Problems {
 	var problems Problems
-	present := make(map[string]bool, len(sec.statements))
 	for _, s := range sec.statements {
 		f, ok := find(fields, s.key)
 		if !ok {
 			problems = append(problems, s.problem(lhcode.SettingUnknown, keys(fields)))
 			continue
 		}
-		present[s.key] = true
 		if code := f.set(t, s.value); code != lhcode.OK {
 			problems = append(problems, s.problem(code, f.allowed))
 		}
 	}
 	for _, f := range fields {
-		if f.required && !present[f.key] {
+		if f.required && !sec.has(f.key) {
 			problems = append(problems, Problem{
 				Origin: sec.origin, Code: lhcode.SettingMissing, Key: sec.name + "." + f.key, Allowed: "required: " + f.allowed,
 			})
--- a/lhconf/merge.go
+++ b/lhconf/merge.go
@@ -28,32 +28,38 @@
 // stands in several files is merged: the later file adds keys and replaces values.
 // Where there are problems, the Config is what could be read and must not be used.
 func Merge(files map[string]string) (Config, Origins, Problems) {
+	config, sections, problems := merge(files)
+	return config, origins(sections), problems
+}
+
+// Check returns the configuration that files merge into, or an error that carries
+// every problem found.
+func Check(files map[string]string) (Config, error) {
+	config, _, problems := merge(files)
+	if len(problems) > 0 {
+		return Config{}, problems.Err()
+	}
+	return config, nil
+}
+
+// merge reads configuration files into a Config and the sections it comes from.
+func merge(files map[string]string) (Config, []section, Problems) {
 	var sections []section
 	var problems Problems
 	for _, name := range slices.Sorted(maps.Keys(files)) {
-		parsed, faults := parseSections(name, []byte(files[name]))
+		parsed, faults := parseSections(name, files[name])
 		sections = append(sections, parsed...)
 		problems = append(problems, faults...)
 	}
 	sections = joinSections(sections)
-	config := Config{Files: maps.Clone(files)}
+	config := Config{Files: maps.Clone(files), Servers: make([]BackendServer, 0, len(sections))}
 	for _, s := range sections {
 		problems = append(problems, config.declare(s)...)
 	}
 	config.sort()
 	problems = append(problems, locate(Validate(config), sections, problems)...)
 	problems.sort()
-	return config, origins(sections), problems
-}
-
-// Check returns the configuration that files merge into, or an error that carries
-// every problem found.
-func Check(files map[string]string) (Config, error) {
-	config, _, problems := Merge(files)
-	if len(problems) > 0 {
-		return Config{}, problems.Err()
-	}
-	return config, nil
+	return config, sections, problems
 }
 
 // The kinds of sections.
@@ -68,7 +74,7 @@
 // declare adds what a section declares.
 func (c *Config) declare(s section) Problems {
 	kind, name, _ := strings.Cut(s.name, " ")
-	if !namePattern.MatchString(name) {
+	if !isName(name) {
 		return s.unknown(sectionsAllowed)
 	}
 	var problems Problems
@@ -121,6 +127,9 @@
 // locate adds to problems of a whole configuration the lines that they come from.
 // It leaves out those whose key has been reported already.
 func locate(found Problems, sections []section, reported Problems) Problems {
+	if len(found) == 0 {
+		return nil
+	}
 	lines := make(map[string]statement)
 	opened := make(map[string]Origin)
 	for _, s := range sections {
--- a/lhconf/merge_test.go
+++ b/lhconf/merge_test.go
@@ -1,11 +1,15 @@
 package lhconf
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"gopkg.in/ini.v1"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 const (
@@ -162,3 +166,37 @@
 		})
 	}
 }
+
+// TestMergeAgreesWithLibrary holds merged values against the library's own way of
+// loading several files, which knows no lines.
+func TestMergeAgreesWithLibrary(t *testing.T) {
+	word := rapid.SampledFrom([]string{"a", "b", "c"})
+	rapid.Check(t, func(t *rapid.T) {
+		files := make(map[string]string)
+		var texts []any
+		for i := range rapid.IntRange(1, 4).Draw(t, "files") {
+			var text strings.Builder
+			for _, section := range rapid.SliceOfDistinct(word, rapid.ID).Draw(t, "sections") {
+				fmt.Fprintf(&text, "[server %s]\n", section)
+				for _, key := range rapid.SliceOfDistinct(word, rapid.ID).Draw(t, "keys") {
+					fmt.Fprintf(&text, "%s = %d\n", key, rapid.IntRange(0, 99).Draw(t, "value"))
+				}
+			}
+			files[fmt.Sprintf("%d.ini", i)] = text.String()
+			texts = append(texts, []byte(text.String()))
+		}
+		want, err := ini.Load(texts[0], texts[1:]...)
+		assert.NilError(t, err)
+		_, origins, _ := Merge(files)
+		total := 0
+		for _, s := range want.Sections() {
+			total += len(s.Keys())
+		}
+		assert.Equal(t, len(origins), total)
+		for _, v := range origins {
+			assert.Equal(t, v.Value, want.Section(v.Section).Key(v.Key).Value())
+			lines := strings.Split(files[v.Origin.File], "\n")
+			assert.Equal(t, lines[v.Origin.Line-1], v.Key+" = "+v.Value)
+		}
+	})
+}
--- a/lhconf/section.go
+++ b/lhconf/section.go
@@ -1,10 +1,10 @@
 package lhconf
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
-	"gopkg.in/ini.v1"
 )
 
 // section is one section of a file with its statements, in the order written.
@@ -15,6 +15,11 @@
 	statements []statement
 }
 
+// has reports whether the section sets a key.
+func (s *section) has(key string) bool {
+	return slices.ContainsFunc(s.statements, func(st statement) bool { return st.key == key })
+}
+
 // unknown returns a problem for the section, or for each of its statements where
 // it has any.
 func (s *section) unknown(allowed string) Problems {
@@ -44,48 +49,71 @@
 	return Problem{Origin: s.origin, Code: code, Key: s.name(), Value: s.value, Allowed: allowed}
 }
 
-// lineSyntax restricts INI to one statement a line, so that each value has one line.
-var lineSyntax = ini.LoadOptions{
-	IgnoreContinuation:       true,
-	KeyValueDelimiters:       "=",
-	SpaceBeforeInlineComment: true,
+// parseSections splits the text of a file into its sections, each of which stands
+// once in the outcome. Keys before the first section belong to one without a name.
+func parseSections(file, text string) ([]section, Problems) {
+	p := sectionParser{place: make(map[string]int)}
+	p.open(Origin{File: file}, "")
+	number := 0
+	for text := range strings.SplitSeq(text, "\n") {
+		number++
+		origin := Origin{File: file, Line: number}
+		l, ok := parseLine(text)
+		switch {
+		case !ok:
+			p.problems = append(p.problems, malformed(origin, text))
+		case l.kind == opening:
+			p.open(origin, l.name)
+		case l.kind == assignment:
+			p.set(statement{origin: origin, section: p.sections[p.current].name, key: l.name, value: l.value})
+		}
+	}
+	if len(p.sections[0].statements) == 0 {
+		p.sections = p.sections[1:]
+	}
+	return p.sections, p.problems
 }
 
-// parseSections splits the text of a file into its sections. Keys before the
-// first section belong to one without a name. The library reports no line
-// numbers, so each line is loaded by itself.
-func parseSections(file string, text []byte) ([]section, Problems) {
-	sections := []section{{origin: Origin{File: file}}}
-	var problems Problems
-	seen := make(map[string]Origin)
-	for i, line := range strings.Split(string(text), "\n") {
-		origin := Origin{File: file, Line: i + 1}
-		loaded, err := ini.LoadSources(lineSyntax, []byte(line))
-		if err != nil {
-			problems = append(problems, malformed(origin, line))
-			continue
-		}
-		if name, ok := openedSection(loaded); ok {
-			sections = append(sections, section{origin: origin, name: name})
-			continue
-		}
-		open := &sections[len(sections)-1]
-		for _, k := range loaded.Section(ini.DefaultSection).Keys() {
-			s := statement{origin: origin, section: open.name, key: k.Name(), value: k.Value()}
-			if first, ok := seen[s.name()]; ok {
-				problems = append(problems, s.problem(lhcode.DeclaredTwice, "already set at "+first.String()))
-				continue
-			}
-			seen[s.name()] = origin
-			open.statements = append(open.statements, s)
+// sectionParser gathers the sections of one file.
+type sectionParser struct {
+	sections []section
+	// place holds the index of each section by its name.
+	place map[string]int
+	// current is the index of the section that the next key belongs to.
+	current  int
+	problems Problems
+}
+
+// open makes the section of a name the current one.
+func (p *sectionParser) open(origin Origin, name string) {
+	i, ok := p.place[name]
+	if !ok {
+		i = len(p.sections)
+		p.place[name] = i
+		p.sections = append(p.sections, section{origin: origin, name: name})
+	}
+	p.current = i
+}
+
+// set adds a statement to the current section. A section has few keys, so that
+// looking through them finds one that is set twice.
+func (p *sectionParser) set(s statement) {
+	open := &p.sections[p.current]
+	for _, other := range open.statements {
+		if other.key == s.key {
+			p.problems = append(p.problems, s.problem(lhcode.DeclaredTwice, "already set at "+other.origin.String()))
+			return
 		}
 	}
-	if len(sections[0].statements) == 0 {
-		sections = sections[1:]
+	if open.statements == nil {
+		open.statements = make([]statement, 0, usualKeys)
 	}
-	return sections, problems
+	open.statements = append(open.statements, s)
 }
 
+// usualKeys is how many keys most sections have room for.
+const usualKeys = 8
+
 // malformed returns the problem of a line that INI has no meaning for.
 func malformed(origin Origin, line string) Problem {
 	return Problem{
@@ -94,21 +122,11 @@
 	}
 }
 
-// openedSection returns the section that a loaded line opens.
-func openedSection(loaded *ini.File) (string, bool) {
-	for _, name := range loaded.SectionStrings() {
-		if name != ini.DefaultSection {
-			return strings.Join(strings.Fields(name), " "), true
-		}
-	}
-	return "", false
-}
-
 // joinSections merges sections of the same name into one, in the order in which
 // the names first appear. A later statement for a key stands beside the earlier.
 func joinSections(sections []section) []section {
-	var joined []section
-	place := make(map[string]int)
+	joined := make([]section, 0, len(sections))
+	place := make(map[string]int, len(sections))
 	for _, s := range sections {
 		i, ok := place[s.name]
 		if !ok {
--- a/lhconf/settings.go
+++ b/lhconf/settings.go
@@ -104,10 +104,10 @@
 // ParseSettings reads settings from the text of the file name. The error carries
 // every problem found; Settings are then empty.
 func ParseSettings(name string, text []byte) (Settings, error) {
-	sections, problems := parseSections(name, text)
+	sections, problems := parseSections(name, string(text))
 	settings := DefaultSettings()
 	present := make(map[string]bool)
-	for _, sec := range joinSections(sections) {
+	for _, sec := range sections {
 		fields, ok := settingFields(sec.name)
 		if !ok {
 			problems = append(problems, sec.unknown("known sections are "+settingSectionNames())...)
--- a/lhconf/validate.go
+++ b/lhconf/validate.go
@@ -62,8 +62,8 @@
 }
 
 func (v *validator) checkServers(servers []BackendServer) {
-	names := make(map[string]bool)
-	addresses := make(map[netip.AddrPort]string)
+	names := make(map[string]bool, len(servers))
+	addresses := make(map[netip.AddrPort]string, len(servers))
 	for _, s := range servers {
 		section := serverSection + " " + s.Name
 		v.checkName(section, s.Name, names[s.Name])
@@ -126,7 +126,7 @@
 }
 
 func (v *validator) checkName(section, name string, taken bool) {
-	if !namePattern.MatchString(name) {
+	if !isName(name) {
 		v.add(lhcode.SettingInvalid, section, nameAllowed)
 	}
 	if taken {
