lhconf: check a new revision by its changed files

Ruled out: keeping the parsed statements of all files, some 70 bytes each, which at that size is 20 MB of a budget of 32. Change: a Merger keeps the last configuration and in which files each section stands. It reads the changed files, and those that share a section with them, and puts what they declare in the place of what they declared. A property test holds every version, also faulty ones, against a check of the whole folder.

--- a/lhconf/bench_test.go
+++ b/lhconf/bench_test.go
@@ -38,3 +38,24 @@
 		})
 	}
 }
+
+// BenchmarkMerger checks a folder of which one file changes from one version to
+// the next.
+func BenchmarkMerger(b *testing.B) {
+	for _, services := range []int{100, 4100} {
+		files := largeFolder(services, 10)
+		b.Run(fmt.Sprintf("servers=%d", services*10), func(b *testing.B) {
+			var m Merger
+			if _, err := m.Check(files); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				files["00007.ini"] += "# changed\n"
+				if _, err := m.Check(files); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/lhconf/doc.go
+++ b/lhconf/doc.go
@@ -19,6 +19,9 @@
 // mend a folder in one go; what has any Problem is not used at all. Validate makes
 // the same checks on a Config that did not come from files.
 //
+// A process that sees one revision after the other checks them with a Merger, which
+// reads only the files that have changed.
+//
 // When a configuration is accepted, Assign numbers its backend servers. A number
 // stands for one server at one address behind one service for ever, which is what
 // lets a VM with an older configuration see that a number is not its own.
--- /dev/null
+++ b/lhconf/merger_test.go
@@ -0,0 +1,59 @@
+package lhconf
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// sameAddress compares addresses and prefixes by their values.
+var sameAddress = cmpopts.EquateComparable(netip.AddrPort{}, netip.Prefix{})
+
+// fragments are sections that merge in many ways, with and without problems.
+var fragments = []string{
+	cutdesk, server1, orders,
+	"[server cutdesk-01]\nstate = draining\n",
+	"[server cutdesk-01]\nslots = 0\n",
+	"[service proofbox]\naddress = 10.0.0.81:443\nproto = tcp\n",
+	"[server proofbox-01]\nservice = proofbox\naddress = 10.2.0.1:6081\ndatacentre = ebetsu\nslots = 2\nflows = 9\n",
+	"[kind proofs]\nservice = cutdesk\nurgency = 1\nshare = 30\ncallers = 10.0.0.0/8\n",
+	"[kind proofs]\nshare = 50\n",
+	"[server cutdesk-02]\n", "# nothing\n", "nonsense\n",
+}
+
+// TestMergerAgreesWithCheck changes a folder at random and holds the outcome
+// against that of reading all of it.
+func TestMergerAgreesWithCheck(t *testing.T) {
+	accepted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		var m Merger
+		files := make(map[string]string)
+		for range rapid.IntRange(1, 12).Draw(t, "versions") {
+			for range rapid.IntRange(1, 3).Draw(t, "changes") {
+				name := fmt.Sprintf("%d.ini", rapid.IntRange(0, 4).Draw(t, "file"))
+				text := ""
+				for _, f := range rapid.SliceOfN(rapid.SampledFrom(fragments), 0, 2).Draw(t, "fragments") {
+					text += f
+				}
+				if text == "" {
+					delete(files, name)
+				} else {
+					files[name] = text
+				}
+			}
+			got, err := m.Check(maps.Clone(files))
+			want, failure := Check(files)
+			assert.Equal(t, fmt.Sprint(err), fmt.Sprint(failure))
+			assert.DeepEqual(t, got, want, sameAddress, cmpopts.EquateEmpty())
+			if err == nil && len(got.Servers) > 0 {
+				accepted++
+			}
+		}
+	})
+	assert.Assert(t, accepted > 20, "only %d versions with servers were accepted", accepted)
+}
