--- a/cmd/laburnumhollow/status.go
+++ b/cmd/laburnumhollow/status.go
@@ -43,12 +43,20 @@
 	return c
 }
 
-// askStatus asks all processes at the same time.
+// maxConcurrent bounds the processes that are asked at the same time.
+const maxConcurrent = 64
+
+// askStatus asks all processes, many at the same time.
 func askStatus(ctx context.Context, addresses []string, timeout time.Duration) []vmStatus {
 	all := make([]vmStatus, len(addresses))
 	var wg sync.WaitGroup
+	running := make(chan struct{}, maxConcurrent)
 	for i, address := range addresses {
-		wg.Go(func() { all[i] = askOne(ctx, address, timeout) })
+		running <- struct{}{}
+		wg.Go(func() {
+			all[i] = askOne(ctx, address, timeout)
+			<-running
+		})
 	}
 	wg.Wait()
 	return all
