--- a/lhconf/merge.go
+++ b/lhconf/merge.go
@@ -47,7 +47,7 @@
 	var sections []section
 	var problems Problems
 	for _, name := range slices.Sorted(maps.Keys(files)) {
-		parsed, faults := parseSections(name, files[name])
+		parsed, faults := parseFile(name, files[name])
 		sections = append(sections, parsed...)
 		problems = append(problems, faults...)
 	}
@@ -62,6 +62,15 @@
 	return config, sections, problems
 }
 
+// parseFile splits a file of a configuration into its sections.
+func parseFile(name, text string) ([]section, Problems) {
+	if !IsFileName(name) {
+		allowed := "a name that ends with " + fileSuffix + ", without a leading dot or a slash"
+		return nil, Problems{{Origin: Origin{File: name}, Code: lhcode.SettingInvalid, Key: "file", Allowed: allowed}}
+	}
+	return parseSections(name, text)
+}
+
 // The kinds of sections.
 const (
 	serviceSection = "service"
--- a/lhconf/merger.go
+++ b/lhconf/merger.go
@@ -85,7 +85,7 @@
 		if !ok || u.sections[name] != nil {
 			continue
 		}
-		sections, problems := parseSections(name, text)
+		sections, problems := parseFile(name, text)
 		u.sections[name] = sections
 		u.problems = append(u.problems, problems...)
 	}
--- a/lhconf/merger_test.go
+++ b/lhconf/merger_test.go
@@ -32,7 +32,7 @@
 	accepted := 0
 	rapid.Check(t, func(t *rapid.T) {
 		var m Merger
-		files := make(map[string]string)
+		files := map[string]string{"0.ini": cutdesk + orders, "1.ini": server1}
 		for range rapid.IntRange(1, 12).Draw(t, "versions") {
 			for range rapid.IntRange(1, 3).Draw(t, "changes") {
 				name := fmt.Sprintf("%d.ini", rapid.IntRange(0, 4).Draw(t, "file"))
@@ -40,6 +40,9 @@
 				for _, f := range rapid.SliceOfN(rapid.SampledFrom(fragments), 0, 2).Draw(t, "fragments") {
 					text += f
 				}
+				if rapid.IntRange(0, 19).Draw(t, "odd name") == 0 {
+					name = ".hidden.ini"
+				}
 				if text == "" {
 					delete(files, name)
 				} else {
