lhwork: keep each kind's work going through a flood

Change: units in work are counted exactly in a window that forgets them after 2 s. A kind within its share may go above it by chance as long as it does not want more; the allowance ends at 1.6 times its share.

--- a/lhwork/choose.go
+++ b/lhwork/choose.go
@@ -34,7 +34,7 @@
 // choose returns the first server in rendezvous order of the best tier.
 func (p *pool) choose(now time.Duration, id lhflow.ID, tried []uint32) *server {
 	completed := p.completion(now)
-	_, work := p.load.observe(now, completed)
+	_, work := p.load.observe(now, workLifetime, completed)
 	work = max(work, p.workLimit) * workBound
 	held := float64(p.held+1) * heldBound
 
--- a/lhwork/event.go
+++ b/lhwork/event.go
@@ -14,9 +14,9 @@
 		p.load.opened(now)
 		s.load.opened(now)
 		k.load.opened(now)
-		p.opened.add(now, completionLifetime, 1)
-		p.halfOpen.add(now, HandshakeLongest, 1)
-		c.syns.add(now, f.Caller, 1)
+		p.opened.add(now, completionLifetime)
+		p.halfOpen.add(now, HandshakeLongest)
+		c.syns.add(now, f.Caller)
 	})
 }
 
@@ -51,7 +51,7 @@
 		p.load.established(now)
 		s.load.established(now)
 		k.load.established(now)
-		p.completed.add(now, completionLifetime, 1)
+		p.completed.add(now, completionLifetime)
 		c.handshakeOver(now, p, f)
 	})
 }
@@ -137,8 +137,8 @@
 }
 
 func (c *Controller) handshakeOver(now time.Duration, p *pool, f Flow) {
-	p.halfOpen.add(now, HandshakeLongest, -1)
-	c.syns.add(now, f.Caller, -1)
+	p.halfOpen.remove(now, HandshakeLongest)
+	c.syns.remove(now, f.Caller)
 }
 
 func (c *Controller) closed(now time.Duration, f Flow, p *pool, s *server, k *kind) {
--- a/lhwork/gauge.go
+++ b/lhwork/gauge.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// gauge is a count that forgets: what is never taken away fades within its
-// lifetime, so that a lost event can't hold a limit for ever. The zero gauge is 0.
+// gauge counts events of the recent past: each one fades within a lifetime. The
+// zero gauge is 0.
 type gauge struct {
 	// value is the count at the time at; never negative.
 	value float64
@@ -22,9 +22,9 @@
 	return g.value
 }
 
-// add changes the count by delta.
-func (g *gauge) add(now, lifetime time.Duration, delta float64) {
-	g.value = max(g.read(now, lifetime)+delta, 0)
+// add counts one more event.
+func (g *gauge) add(now, lifetime time.Duration) {
+	g.value = g.read(now, lifetime) + 1
 }
 
 // rate returns the events a second of a gauge that counts them.
--- a/lhwork/kind.go
+++ b/lhwork/kind.go
@@ -8,7 +8,7 @@
 )
 
 // demandLifetime is the time over which the demand of a kind is counted.
-const demandLifetime = 200 * time.Millisecond
+const demandLifetime = 500 * time.Millisecond
 
 // kind is what this VM knows of a kind of work. The pool's lock guards it.
 type kind struct {
@@ -19,8 +19,9 @@
 	load load
 	// offered counts the units that asked for admission.
 	offered gauge
-	// grant is how many units the kind may have in work on average at present.
-	grant float64
+	// want is how many units of the kind would be in work if all were admitted, and
+	// grant is how many may be.
+	want, grant float64
 
 	// The counters only ever grow.
 	admitted uint64
--- a/lhwork/load.go
+++ b/lhwork/load.go
@@ -4,20 +4,22 @@
 
 const (
 	// openingLifetime is how long a half-open flow counts as work to come.
-	openingLifetime = 100 * time.Millisecond
+	openingLifetime = 200 * time.Millisecond
 	// waitingLifetime is how long a flow counts as in work without any answer.
 	waitingLifetime = 2 * time.Second
-	// meanLifetime is the time over which use is held against a share.
-	meanLifetime = 500 * time.Millisecond
+	// shareLifetime is the time over which the use of a kind is held against its
+	// share, and workLifetime that over which all work is held against the limit.
+	shareLifetime = 2 * time.Second
+	workLifetime  = 150 * time.Millisecond
 )
 
 // load counts the units in work of one kind, server or service. The zero load is
 // idle.
 type load struct {
 	// opening counts half-open flows.
-	opening gauge
+	opening window
 	// waiting counts flows that wait for the server's first answer to data.
-	waiting gauge
+	waiting window
 	// mean is the mean of the units in work.
 	mean average
 }
@@ -28,25 +30,26 @@
 	return l.opening.read(now, openingLifetime)*completed + l.waiting.read(now, waitingLifetime)
 }
 
-// observe brings the mean up to now and returns it with the units in work.
-func (l *load) observe(now time.Duration, completed float64) (mean, current float64) {
+// observe brings the mean over a lifetime up to now and returns it with the units
+// in work.
+func (l *load) observe(now, lifetime time.Duration, completed float64) (mean, current float64) {
 	current = l.inWork(now, completed)
-	return l.mean.observe(now, meanLifetime, current), current
+	return l.mean.observe(now, lifetime, current), current
 }
 
-func (l *load) opened(now time.Duration) { l.opening.add(now, openingLifetime, 1) }
+func (l *load) opened(now time.Duration) { l.opening.add(now, openingLifetime) }
 
 func (l *load) established(now time.Duration) {
-	l.opening.add(now, openingLifetime, -1)
-	l.waiting.add(now, waitingLifetime, 1)
+	l.opening.remove(now, openingLifetime)
+	l.waiting.add(now, waitingLifetime)
 }
 
 // left takes away a flow that was in phase p.
 func (l *load) left(now time.Duration, p Phase) {
 	switch p {
 	case PhaseOpening:
-		l.opening.add(now, openingLifetime, -1)
+		l.opening.remove(now, openingLifetime)
 	case PhaseWaiting:
-		l.waiting.add(now, waitingLifetime, -1)
+		l.waiting.remove(now, waitingLifetime)
 	}
 }
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -17,6 +17,12 @@
 	halfOpenMin = 256
 	// completionLifetime is the time over which completed handshakes are counted.
 	completionLifetime = time.Second
+	// shareSlack is how far the units in work may go above their limit by shares.
+	shareSlack = 1.5
+	// allowanceStart and allowanceEnd are the wants over a limit between which the
+	// allowance for chance falls from whole to none.
+	allowanceStart = 1
+	allowanceEnd   = 1.6
 	// answerUnknown stands for the answer time until one was seen.
 	answerUnknown = 50 * time.Millisecond
 )
@@ -39,13 +45,15 @@
 	// opened and completed count handshakes that began and that were completed.
 	opened, completed gauge
 	// halfOpen is the number of handshakes under way.
-	halfOpen gauge
+	halfOpen window
 
 	// fraction is this VM's part of the limits.
 	fraction float64
 	// workLimit is how many units may be in work on average, and slots is this
 	// VM's part of the slots.
 	workLimit, slots float64
+	// want is how many units would be in work if all were admitted.
+	want float64
 	// flowLimit is how many flows may be held; held is how many are.
 	flowLimit, held int
 	// refreshed is when the values from fraction to flowLimit were computed; stale
@@ -58,7 +66,7 @@
 
 // admit decides on a unit of kind k.
 func (p *pool) admit(now time.Duration, k *kind) Reason {
-	k.offered.add(now, demandLifetime, 1)
+	k.offered.add(now, demandLifetime)
 	switch {
 	case p.halfOpen.read(now, HandshakeLongest) >= p.halfOpenLimit():
 		return ReasonHalfOpen
@@ -93,18 +101,26 @@
 // kind's share, or there is capacity left to lend that the kind may take.
 func (p *pool) hasWork(now time.Duration, k *kind) bool {
 	completed := p.completion(now)
-	mean, current := k.load.observe(now, completed)
-	if within(mean, current, k.share()*p.workLimit) {
+	_, current := k.load.observe(now, shareLifetime, completed)
+	mean, all := p.load.observe(now, workLifetime, completed)
+	// Where units wait longer than the limit explains, every kind has more of them
+	// in work for the same share of the slots.
+	whole := min(max(mean, p.workLimit), shareSlack*p.workLimit)
+	if allows(current, k.want, k.share()*whole) {
 		return true
 	}
-	all, allCurrent := p.load.observe(now, completed)
-	return mean < k.grant && within(all, allCurrent, p.workLimit)
+	return current < k.grant && allows(all, p.want, p.workLimit)
 }
 
-// within holds the mean below a limit and the current value below what the limit
-// plus chance explain.
-func within(mean, current, limit float64) bool {
-	return mean < limit && current < limit+burst(limit)
+// allows reports whether a count may grow by one under a limit. Where no more is
+// wanted than the limit, the count may go above it by as much as chance explains;
+// the allowance shrinks as more is wanted, so that a flood stays at its limit.
+func allows(current, want, limit float64) bool {
+	if limit <= 0 {
+		return false
+	}
+	allowance := (allowanceEnd - want/limit) / (allowanceEnd - allowanceStart)
+	return current < limit+burst(limit)*min(max(allowance, 0), 1)
 }
 
 // burst returns how far a count with a mean of x may go above it by chance.
@@ -174,7 +190,7 @@
 		}
 	}
 	p.slots = slots * p.fraction
-	mean, _ := p.load.observe(now, p.completion(now))
+	mean, _ := p.load.observe(now, workLifetime, p.completion(now))
 	p.limiter.adjust(now, mean/max(p.slots, 1e-9))
 	p.workLimit = work * p.fraction * p.limiter.scale()
 }
@@ -185,14 +201,14 @@
 	if answer == 0 {
 		answer = answerUnknown
 	}
-	wanted := 0.0
+	p.want = 0
 	for i, k := range p.kinds {
-		want := k.offered.rate(now, demandLifetime) * answer.Seconds()
-		p.claims[i] = Claim{Share: k.share(), Urgency: k.urgency(), Want: want}
-		wanted += want
+		k.want = k.offered.rate(now, demandLifetime) * answer.Seconds()
+		p.claims[i] = Claim{Share: k.share(), Urgency: k.urgency(), Want: k.want}
+		p.want += k.want
 	}
 	Divide(p.workLimit, p.claims)
-	idle := max(p.workLimit-wanted, 0)
+	idle := max(p.workLimit-p.want, 0)
 	for i, k := range p.kinds {
 		k.grant = p.claims[i].Grant + idle
 	}
--- a/lhwork/prefix.go
+++ b/lhwork/prefix.go
@@ -29,7 +29,7 @@
 
 type prefixShard struct {
 	mu    sync.Mutex
-	slots [prefixSlots]gauge
+	slots [prefixSlots]window
 }
 
 func (p *prefixes) read(now time.Duration, caller [16]byte) float64 {
@@ -39,11 +39,18 @@
 	return shard.slots[slot].read(now, HandshakeLongest)
 }
 
-func (p *prefixes) add(now time.Duration, caller [16]byte, delta float64) {
+func (p *prefixes) add(now time.Duration, caller [16]byte) {
 	shard, slot := p.at(caller)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	shard.slots[slot].add(now, HandshakeLongest, delta)
+	shard.slots[slot].add(now, HandshakeLongest)
+}
+
+func (p *prefixes) remove(now time.Duration, caller [16]byte) {
+	shard, slot := p.at(caller)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	shard.slots[slot].remove(now, HandshakeLongest)
 }
 
 func (p *prefixes) at(caller [16]byte) (shard *prefixShard, slot int) {
--- a/lhwork/server.go
+++ b/lhwork/server.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	slots := float64(s.declared.Slots()) * fraction
-	mean, _ := s.load.observe(now, completed)
+	mean, _ := s.load.observe(now, workLifetime, completed)
 	busy := mean > 2*slots || s.healthy(now) < 0.5
 	idle := mean < slots/4 && s.healthy(now) == 1
 	return report >= busyReport && idle || report <= idleReport && busy
--- a/lhwork/snapshot.go
+++ b/lhwork/snapshot.go
@@ -80,7 +80,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now, part)
-	mean, _ := p.load.observe(now, p.completion(now))
+	mean, _ := p.load.observe(now, workLifetime, p.completion(now))
 	snap := ServiceSnapshot{
 		Name:      p.service.Name(),
 		Work:      mean,
