lhwork: spread flows before servers nearby are full

Ruled out: limits by plan, whose sum over differing views has no bound.

Change: the parts go from the plan towards the servers' weights as the flows held come near the limits.

--- /dev/null
+++ b/lhwork/choose_test.go
@@ -0,0 +1,195 @@
+package lhwork_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+	"github.com/laburnumhollow/laburnumhollow/lhwork"
+)
+
+var testKey = lhflow.NewKey(lhflow.TCP, netip.MustParseAddrPort("10.9.0.1:40000"), serviceAddress)
+
+// fleet is a service whose servers stand in data centres.
+func fleet(sites ...int) *lhconf.Config {
+	cfg := &lhconf.Config{Services: []lhconf.Service{{Name: "shop", Address: serviceAddress, Proto: lhflow.TCP}}}
+	for site, servers := range sites {
+		for range servers {
+			n := uint32(len(cfg.Servers) + 1)
+			cfg.Servers = append(cfg.Servers, lhconf.BackendServer{
+				Number: n, Service: "shop", Weight: 1 + n%2, Slots: 2, Flows: 1500 * (1 + n%2), DataCentre: fmt.Sprint("dc", site),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 6081),
+			})
+		}
+	}
+	return cfg
+}
+
+// members are VMs that stand in the same data centres.
+func members(sites ...int) []lhflow.Member {
+	var all []lhflow.Member
+	for site, vms := range sites {
+		for range vms {
+			all = append(all, lhflow.Member{ID: lhflow.MemberID(len(all) + 1), DataCentre: fmt.Sprint("dc", site), State: lhflow.Active})
+		}
+	}
+	return all
+}
+
+// place opens a flow and takes it through to its first answer.
+func place(t *testing.T, now time.Duration, c policy, id lhflow.ID) uint32 {
+	number, ok := c.Choose(now, id, testKey, nil)
+	assert.Assert(t, ok)
+	f := lhwork.Flow{Server: number, Caller: testKey.Caller}
+	c.Opened(now, f)
+	c.Answered(now, f, wire)
+	c.Established(now, f)
+	f.Phase = lhwork.PhaseWaiting
+	c.Served(now, f, serviceTime)
+	return number
+}
+
+// TestChooseBalance holds 20,000 flows on 14 servers and replaces as many again.
+func TestChooseBalance(t *testing.T) {
+	const flows = 20_000
+	for _, sites := range []struct{ servers, vms []int }{
+		{[]int{14}, []int{6}},
+		{[]int{6, 5, 3}, []int{3, 3, 2}},
+		{[]int{2, 6, 6}, []int{4, 2, 1}},
+		{[]int{4, 4, 3, 3}, []int{2, 2, 2, 2}},
+	} {
+		t.Run(fmt.Sprint(sites.servers, sites.vms), func(t *testing.T) {
+			cfg := fleet(sites.servers...)
+			view := lhflow.NewView(1, 1, members(sites.vms...))
+			vms := map[lhflow.MemberID]policy{}
+			for _, m := range view.Members {
+				vms[m.ID] = newController(lhplace.NewTable(cfg), lhflow.NewView(1, m.ID, view.Members))
+			}
+			random := rand.New(rand.NewPCG(floodSeed, 2))
+			held := make([]int, len(cfg.Servers)+1)
+			type opened struct {
+				vm     policy
+				server uint32
+			}
+			var open []opened
+			for i := range 2 * flows {
+				now := time.Duration(i) * time.Millisecond
+				if len(open) == flows {
+					last := random.IntN(flows)
+					gone := open[last]
+					open[last] = open[flows-1]
+					open = open[:flows-1]
+					gone.vm.Closed(now, lhwork.Flow{Server: gone.server, Phase: lhwork.PhaseServed})
+					held[gone.server]--
+				}
+				id := lhflow.ID{Hi: random.Uint64(), Lo: random.Uint64()}
+				vm := vms[view.Owners(id).First]
+				server := place(t, now, vm, id)
+				held[server]++
+				open = append(open, opened{vm, server})
+			}
+			weights, worst := 0.0, 0.0
+			for _, s := range cfg.Servers {
+				weights += float64(s.Weight)
+			}
+			for _, s := range cfg.Servers {
+				worst = max(worst, float64(held[s.Number])/float64(s.Weight)*weights/flows)
+			}
+			t.Logf("largest flows held over weighted mean: %.3f", worst)
+			assert.Assert(t, worst < 1.15, "imbalance %.3f", worst)
+		})
+	}
+}
+
+func TestChooseAvoids(t *testing.T) {
+	cfg := fleet(4)
+	cfg.Servers[0].State = lhconf.Draining
+	c := &lhwork.Controller{}
+	c.SetTable(0, lhplace.NewTable(cfg))
+	for i := range uint64(1000) {
+		got, ok := c.Choose(0, lhflow.ID{Lo: i}, testKey, []uint32{2, 3})
+		assert.Assert(t, ok)
+		assert.Equal(t, got, uint32(4), "neither draining nor tried")
+	}
+	_, ok := c.Choose(0, lhflow.ID{}, testKey, []uint32{2, 3, 4})
+	assert.Assert(t, !ok)
+}
+
+// TestChooseSlowStart adds a server and restores another: both get a small part
+// of the flows at first, and their whole part at the end.
+func TestChooseSlowStart(t *testing.T) {
+	cfg := fleet(4)
+	for i := range cfg.Servers {
+		cfg.Servers[i].Weight = 1
+	}
+	cfg.Servers[1].State = lhconf.Draining
+	before := *cfg
+	before.Servers = slices.Clone(cfg.Servers[:3])
+	cfg.Servers[1].State = lhconf.Serving
+	c := &lhwork.Controller{}
+	c.SetTable(0, lhplace.NewTable(&before))
+	c.SetTable(time.Second, lhplace.NewTable(cfg))
+	for _, step := range []struct{ after, least, most float64 }{{0, 0.02, 0.08}, {0.5, 0.12, 0.22}, {1, 0.22, 0.28}} {
+		now := time.Second + time.Duration(step.after*float64(lhwork.SlowStart))
+		got := make([]float64, 5)
+		for i := range uint64(10_000) {
+			server, _ := c.Choose(now, lhflow.ID{Lo: i, Hi: i << 20}, testKey, nil)
+			got[server] += 1.0 / 10_000
+		}
+		for _, cold := range []int{2, 4} {
+			assert.Check(t, got[cold] >= step.least && got[cold] <= step.most, "at %v server %d gets %.3f", step.after, cold, got[cold])
+		}
+	}
+}
+
+// TestChooseLeavesFailing lets a server answer no SYN, and one reset every flow:
+// both soon get few flows, and all their flows again two seconds later.
+func TestChooseLeavesFailing(t *testing.T) {
+	cfg := fleet(14)
+	c := &lhwork.Controller{}
+	c.SetTable(0, lhplace.NewTable(cfg))
+	random := rand.New(rand.NewPCG(floodSeed, 3))
+	var silent []time.Duration
+	run := func(from, to time.Duration, failing bool) (part float64) {
+		all, bad := 0, 0
+		for now := from; now < to; now += 5 * time.Millisecond {
+			number, _ := c.Choose(now, lhflow.ID{Hi: random.Uint64(), Lo: random.Uint64()}, testKey, nil)
+			f := lhwork.Flow{Server: number}
+			c.Opened(now, f)
+			all++
+			for len(silent) > 0 && now-silent[0] > time.Second {
+				c.Silent(now, lhwork.Flow{Server: 1})
+				silent = silent[1:]
+			}
+			if number <= 2 {
+				bad++
+			}
+			switch {
+			case failing && number == 1:
+				silent = append(silent, now)
+			case failing && number == 2:
+				c.ServerReset(now, f)
+			default:
+				c.Answered(now, f, wire)
+				c.Closed(now, f)
+			}
+		}
+		return float64(bad) / float64(all)
+	}
+	usual := run(0, 2*time.Second, false)
+	run(2*time.Second, 4*time.Second, true)
+	during := run(4*time.Second, 10*time.Second, true)
+	run(10*time.Second, 12*time.Second, false)
+	after := run(12*time.Second, 14*time.Second, false)
+	t.Logf("two of fourteen servers get %.3f of the flows, %.3f while they fail, %.3f later", usual, during, after)
+	assert.Check(t, during < usual/3)
+	assert.Check(t, after > usual*0.7)
+}
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -23,6 +23,8 @@
 	// allowance for chance falls from whole to none.
 	allowanceStart = 1
 	allowanceEnd   = 1.6
+	// spreadFill is how full servers nearby get before flows are spread further.
+	spreadFill = 0.8
 	// answerUnknown stands for the answer time until one was seen.
 	answerUnknown = 50 * time.Millisecond
 )
@@ -153,25 +155,45 @@
 	}
 	p.refreshed, p.stale = max(now, 1), false
 	p.fraction = part.read(now)
-	p.weigh(now)
 	p.limits(now)
+	p.weigh(now)
 	p.grants(now)
 }
 
-// weigh computes the weights of the servers and their parts of the plan.
+// weigh computes the weights of the servers and their parts of this VM's flows.
 func (p *pool) weigh(now time.Duration) {
-	sum := 0.0
+	planned, room := 0.0, 0.0
 	for i, s := range p.servers {
 		s.weigh(now)
 		s.part = s.room * p.plan[i]
-		sum += s.part
+		planned += s.part
+		room += s.room
 	}
-	if sum == 0 {
+	if planned == 0 {
 		return
 	}
 	for _, s := range p.servers {
-		s.part /= sum
+		s.part /= planned
+	}
+	spread := p.spread(room)
+	for _, s := range p.servers {
+		s.part += (s.room/room - s.part) * spread
+	}
+}
+
+// spread returns how far the parts must go from the plan to the servers' weights,
+// from 0 to 1, so that the flows held leave room below each server's limit. The
+// plan fills the servers nearby, of which each VM may fill its part alone.
+func (p *pool) spread(room float64) float64 {
+	spread, held := 0.0, float64(p.held)
+	for _, s := range p.servers {
+		even := s.room / room
+		excess := s.part*held - spreadFill*float64(s.limit)
+		if excess > 0 && s.part > even {
+			spread = max(spread, excess/(held*(s.part-even)))
+		}
 	}
+	return min(spread, 1)
 }
 
 // limits computes the limits of units in work and of flows.
