lhstand: give the callers of each load addresses of their own

Cause: a second load on one fabric met its predecessor's callers, which still linger after closing, and reported them as wrong. Flows are now numbered over the fabric.

--- a/lhstand/fabric.go
+++ b/lhstand/fabric.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
@@ -22,6 +23,8 @@
 
 	port  *port
 	stack stack
+	// reserved is how many flows loads have taken callers for.
+	reserved atomic.Int64
 
 	mu sync.Mutex
 	// sent counts packets by flow and entry VM.
@@ -134,6 +137,11 @@
 	}
 }
 
+// reserve returns the number of the first of so many flows that no load has had.
+func (f *Fabric) reserve(flows int) int {
+	return int(f.reserved.Add(int64(flows))) - flows
+}
+
 // transmit hands a packet to an entry VM at random.
 func (f *Fabric) transmit(key lhflow.Key, inner []byte) {
 	vm, ok := f.port.choose()
--- a/lhstand/load.go
+++ b/lhstand/load.go
@@ -20,8 +20,8 @@
 	Service netip.AddrPort
 	// Proto is the service's protocol; 0 is TCP. A UDP flow is one datagram.
 	Proto lhflow.Proto
-	// Callers holds the callers' addresses; the zero prefix is DefaultCallers.
-	// Loads that run at the same time need prefixes that don't overlap.
+	// Callers holds the callers' addresses; the zero prefix is DefaultCallers. Each
+	// flow over a fabric has an address and port of its own.
 	Callers netip.Prefix
 	// Flows is how many flows are opened in all.
 	Flows int
@@ -57,7 +57,7 @@
 // flows once the context has ended, and resets those that are open.
 func (l Load) Run(ctx context.Context, fabric *Fabric) *LoadResult {
 	l = l.withDefaults()
-	run := loadRun{Load: l, fabric: fabric, start: time.Now()}
+	run := loadRun{Load: l, fabric: fabric, first: fabric.reserve(l.Flows), start: time.Now()}
 	ended := make(chan *LoadResult, l.Parallel)
 	for range l.Parallel {
 		go func() { ended <- run.work(ctx) }()
@@ -92,7 +92,9 @@
 type loadRun struct {
 	Load
 	fabric *Fabric
-	start  time.Time
+	// first is the number of the first flow among all of the fabric's.
+	first int
+	start time.Time
 	// opened is the number of flows taken up so far.
 	opened atomic.Int64
 }
@@ -220,6 +222,7 @@
 
 // caller returns the caller of a flow: ports of one address before the next.
 func (r *loadRun) caller(flow int) netip.AddrPort {
+	flow += r.first
 	address := r.Callers.Addr().As16()
 	low := binary.BigEndian.Uint32(address[12:])
 	binary.BigEndian.PutUint32(address[12:], low+uint32(flow/portCount)+1)
--- a/lhstand/load_test.go
+++ b/lhstand/load_test.go
@@ -55,6 +55,14 @@
 	assert.Equal(t, result.Flows(), 0)
 }
 
+func TestLoadsFollowEachOther(t *testing.T) {
+	fabric := startAll(t, &BackendServer{Name: "s1", Service: "cutdesk"}, 1)
+	for range 2 {
+		result := Load{Service: service, Flows: 3}.Run(context.Background(), fabric)
+		assert.Equal(t, result.Outcomes[Whole], 3)
+	}
+}
+
 func TestCallersOfFlowsDiffer(t *testing.T) {
 	run := loadRun{Load: Load{}.withDefaults()}
 	seen := make(map[string]bool)
--- a/lhstand/result.go
+++ b/lhstand/result.go
@@ -75,7 +75,7 @@
 	text := fmt.Sprintf("%d flows in %v, %d opened, %d requests answered\n",
 		r.Flows(), r.Elapsed.Round(time.Millisecond), r.Opened, r.Requests)
 	for o := Whole; o < OutcomeCount; o++ {
-		text += fmt.Sprintf("  %-9s %d\n", o, r.Outcomes[o])
+		text += fmt.Sprintf("  %-9s %d\n", o.String(), r.Outcomes[o])
 	}
 	text += row("opening", r.Opening) + row("latency", r.Latency)
 	text += fmt.Sprintf("busiest server %.2f times the mean of %d\n", r.Imbalance(), len(r.Servers))
