--- a/lhstore/apply.go
+++ b/lhstore/apply.go
@@ -12,14 +12,6 @@
 // maxAttempts bounds how often an apply starts over because others were faster.
 const maxAttempts = 32
 
-// Check merges the files of a folder into a configuration, or says what is wrong
-// with them.
-type Check func(files map[string]string) (lhconf.Config, error)
-
-// Assign gives the backend servers of next their numbers: those of previous to
-// servers that it holds, and new ones to the others.
-type Assign func(previous, next lhconf.Config) lhconf.Config
-
 // Store is what acceptance needs of the platform's service.
 type Store interface {
 	Getter
@@ -43,9 +35,15 @@
 	fleet Fleet
 }
 
-// NewApplier returns an Applier that accepts what check lets pass. A nil fleet
-// stands for one without VMs.
+// NewApplier returns an Applier that accepts what check lets pass. A nil check or
+// assign stands for CheckFolder and lhconf.Assign, a nil fleet for one without VMs.
 func NewApplier(store Store, check Check, assign Assign, fleet Fleet) *Applier {
+	if check == nil {
+		check = CheckFolder
+	}
+	if assign == nil {
+		assign = lhconf.Assign
+	}
 	return &Applier{store: store, check: check, assign: assign, fleet: fleet}
 }
 
--- a/lhstore/runner.go
+++ b/lhstore/runner.go
@@ -54,8 +54,11 @@
 
 // NewRunner returns a Runner that calls deliver with each configuration once it
 // is accepted, with rising revisions. It asks watching whether this VM is one of
-// those that watch the store.
+// those that watch the store. A nil check stands for CheckFolder.
 func NewRunner(store Watcher, check Check, watching func() bool, deliver func(lhconf.Config)) *Runner {
+	if check == nil {
+		check = CheckFolder
+	}
 	return &Runner{
 		store:    store,
 		check:    check,
