lhstore: keep declarations beside files, so that VMs parse nothing

Cause: a VM merged the whole folder for each accepted change. Ruled out: the spread itself (296 bytes a change) and the pages (hashed only where touched); two thirds of the time were the parser's, the rest origins and checks that the apply had made already. A page now also holds the declarations merged from the files, a manifest lists those that changed, and numbers are part of them.

--- a/cmd/laburnumhollow/show.go
+++ b/cmd/laburnumhollow/show.go
@@ -53,7 +53,7 @@
 	now, err := lhstore.Open(ctx, pl.store())
 	if err == nil {
 		r.Revision, r.Digest, r.Apply = now.Position().Revision, digestText(now.Position()), now.Apply()
-		r.Config, err = now.Config(lhconf.Check)
+		r.Config = now.Config()
 	}
 	addresses, failed := pl.addresses(ctx)
 	if err == nil {
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -74,7 +74,7 @@
 		IdleUDP: s.IdleUDP,
 	})
 	e.store = lhstore.NewClient(s.Platform, nil)
-	e.runner = lhstore.NewRunner(e.store, check, e.watching, e.SetConfig)
+	e.runner = lhstore.NewRunner(e.store, e.watching, e.SetConfig)
 	e.node = lhpeer.NewNode(e.nodeSettings())
 	e.node.OnView(e.setView)
 	e.addWorkers()
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer"
 	"github.com/laburnumhollow/laburnumhollow/lhstore"
@@ -98,12 +97,6 @@
 	return lhpeer.Revision{Number: at.Revision, Digest: at.Digest}
 }
 
-// check merges the files of a configuration that operators have had accepted.
-func check(files map[string]string) (lhconf.Config, error) {
-	cfg, _, problems := lhconf.Merge(files)
-	return cfg, problems.Err()
-}
-
 // handOver sends records to the members that lack them, and tells a joining
 // member once it has all that this VM owes it.
 func (e *Entry) handOver(ctx context.Context) error {
--- a/lhstore/apply.go
+++ b/lhstore/apply.go
@@ -36,10 +36,10 @@
 }
 
 // NewApplier returns an Applier that accepts what check lets pass. A nil check or
-// assign stands for CheckFolder and lhconf.Assign, a nil fleet for one without VMs.
+// assign stands for those of lhconf, a nil fleet for one without VMs.
 func NewApplier(store Store, check Check, assign Assign, fleet Fleet) *Applier {
 	if check == nil {
-		check = CheckFolder
+		check = lhconf.Check
 	}
 	if assign == nil {
 		assign = lhconf.Assign
@@ -156,7 +156,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	return held.successor(id, files, a.assign(held.numbered(), config)), nil
+	return held.successor(id, files, a.assign(held.Config(), config)), nil
 }
 
 // accept moves the head from before to a position whose contents are written.
--- a/lhstore/check.go
+++ b/lhstore/check.go
@@ -1,9 +1,6 @@
 package lhstore
 
-import (
-	"github.com/laburnumhollow/laburnumhollow/lhcode"
-	"github.com/laburnumhollow/laburnumhollow/lhconf"
-)
+import "github.com/laburnumhollow/laburnumhollow/lhconf"
 
 // Check merges the files of a folder into a configuration, or says what is wrong
 // with them.
@@ -12,14 +9,3 @@
 // Assign gives the backend servers of next their numbers: those of previous to
 // servers that it holds, and new ones to the others.
 type Assign func(previous, next lhconf.Config) lhconf.Config
-
-// CheckFolder merges files as lhconf does, and refuses names that no folder holds.
-func CheckFolder(files map[string]string) (lhconf.Config, error) {
-	for name := range files {
-		if !lhconf.IsFileName(name) {
-			return lhconf.Config{}, lhcode.Newf(lhcode.SettingInvalid, "%q is no name of a configuration file", name)
-		}
-	}
-	config, _, problems := lhconf.Merge(files)
-	return config, problems.Err()
-}
--- a/lhstore/doc.go
+++ b/lhstore/doc.go
@@ -3,17 +3,18 @@
 //
 // # What is stored
 //
-// The files that operators wrote are parted over a fixed number of pages by a
-// hash of their names. A page is a compressed value under the hash of its
-// contents, so a change of one file replaces one page and leaves the others as
-// they are. A manifest, one for each revision, names the pages and says what the
+// The files that operators wrote, and the declarations that were merged from
+// them, are parted over a fixed number of pages by a hash of their names. A VM
+// takes the declarations as they are, so that only operators' tools parse files.
+// A page is a compressed value under the hash of its contents, so a change of one
+// file replaces a page or two and leaves the others as they are. A manifest, one for each revision, names the pages and says what the
 // revision changed. Pages and manifests never change once they are referred to.
 // One key, the head, names the manifest in force, and only a compare-and-swap of
 // the head accepts a configuration:
 //
 //	head            {revision 8, manifest "8-5f0c", turn 31}
-//	manifest/8-5f0c {previous "7-a2d1", pages [...], files changed, numbers given}
-//	page/Zk3v...    the files of one page, with the numbers of their servers
+//	manifest/8-5f0c {previous 7-a2d1, pages [...], files and declarations changed}
+//	page/Zk3v...    the files and declarations of one page
 //
 // The head also has a turn that grows with every swap. Whoever is unsure whether
 // an earlier swap may still take effect swaps the head for itself with the next
--- a/lhstore/follower.go
+++ b/lhstore/follower.go
@@ -12,13 +12,13 @@
 	// checkPeriod is the mean time between two reads of the head by a VM that
 	// does not watch it. It finds what gossip has missed.
 	checkPeriod = 10 * time.Minute
-	// firstBackoff is the longest wait after a first failed call; each further
-	// failure doubles it.
-	firstBackoff = 250 * time.Millisecond
-	// maxWatchBackoff and maxBackoff bound the wait of a VM that watches, of which
-	// there are few, and of any other.
-	maxWatchBackoff = 4 * time.Second
-	maxBackoff      = time.Minute
+	// firstBackoff is the longest wait after a first failed call, which doubles
+	// with each further one up to maxBackoff. VMs that watch are few and may call
+	// more often.
+	firstBackoff      = 2 * time.Second
+	maxBackoff        = time.Minute
+	firstWatchBackoff = 250 * time.Millisecond
+	maxWatchBackoff   = 4 * time.Second
 )
 
 // Alarm is a state of the store that operators have to see to.
@@ -32,13 +32,11 @@
 	// AlarmStoreParted is a store that holds other contents under the revision of
 	// this VM.
 	AlarmStoreParted
-	// AlarmRejected is a revision in the store that this VM can't put in force.
-	AlarmRejected
 )
 
 // String returns the alarm's name in dumps and logs.
 func (a Alarm) String() string {
-	return [...]string{"none", "store-lower", "store-parted", "rejected"}[a&3]
+	return [...]string{"none", "store-lower", "store-parted"}[a%3]
 }
 
 // MarshalText returns the alarm's name.
@@ -72,8 +70,6 @@
 	Lower uint64 `json:"lower"`
 	// Parted are the positions that are not of the chain in force.
 	Parted uint64 `json:"parted"`
-	// Rejected are the revisions that could not be put in force.
-	Rejected uint64 `json:"rejected"`
 	// Failed are the calls of the store without an answer.
 	Failed uint64 `json:"failed"`
 }
@@ -88,8 +84,6 @@
 	etag string
 	// known is set once the head has been read, also where there was none.
 	known bool
-	// rejected could not be put in force; it is not loaded again.
-	rejected Position
 	// failures counts the calls without an answer since the last with one.
 	failures int
 	// due is when the store may be called again.
@@ -132,8 +126,6 @@
 	f.due = now + time.Duration((0.5+chance)*float64(checkPeriod))
 	f.alarm = AlarmNone
 	switch {
-	case at.Newer(f.held) && at == f.rejected:
-		f.alarm = AlarmRejected
 	case at.Newer(f.held):
 		// Loading may still fail, so that the failures stay as they are.
 		return true
@@ -156,11 +148,11 @@
 // return to the store together.
 func (f *Follower) StoreFailed(now time.Duration, watching bool, chance float64) {
 	f.counts.Failed++
-	limit := maxBackoff
+	first, limit := firstBackoff, maxBackoff
 	if watching {
-		limit = maxWatchBackoff
+		first, limit = firstWatchBackoff, maxWatchBackoff
 	}
-	wait := min(limit, firstBackoff<<min(f.failures, 16))
+	wait := min(limit, first<<min(f.failures, 16))
 	f.failures++
 	f.due = now + time.Duration((0.5+chance/2)*float64(wait))
 }
@@ -178,9 +170,6 @@
 		f.counts.Lower++
 		return lhcode.Newf(lhcode.RevisionLower, "revision %v is not above %v", at, f.held)
 	}
-	if at == f.rejected {
-		return lhcode.Newf(lhcode.SettingInvalid, "revision %v was rejected before", at)
-	}
 	return nil
 }
 
@@ -197,10 +186,3 @@
 	f.counts.Adopted++
 	return nil
 }
-
-// Reject takes in that a position's contents can't be put in force.
-func (f *Follower) Reject(at Position) {
-	f.counts.Rejected++
-	f.rejected = at
-	f.alarm = AlarmRejected
-}
--- a/lhstore/manifest.go
+++ b/lhstore/manifest.go
@@ -12,6 +12,8 @@
 	// inlineLimit is the size of the changes that a manifest lists itself, in bytes
 	// of text. Whoever lacks a revision with more compares its pages.
 	inlineLimit = 64 << 10
+	// declaredSize stands for the size of a declaration in bytes.
+	declaredSize = 256
 )
 
 // FileText is a file as a revision left it.
@@ -22,13 +24,6 @@
 	Removed bool `json:"removed,omitempty"`
 }
 
-// NumberGiven is a number that a revision gave to a backend server.
-type NumberGiven struct {
-	Server string `json:"server"`
-	// Number is 0 when the revision took the server away.
-	Number uint32 `json:"number"`
-}
-
 // Manifest says what one revision holds and how it came about. It is never
 // changed once the head has named it.
 type Manifest struct {
@@ -42,10 +37,10 @@
 	// Pages holds the hash of each page, empty for an empty one. A peer leaves it
 	// out, and the receiver derives it from its own pages and the changes.
 	Pages []string `json:"pages,omitempty"`
-	// Files and Numbers are what the revision changed, sorted; both are empty
-	// when Bulk is set.
-	Files   []FileText    `json:"files,omitempty"`
-	Numbers []NumberGiven `json:"numbers,omitempty"`
+	// Files and Declared are what the revision changed, sorted by name; both are
+	// empty when Bulk is set.
+	Files    []FileText          `json:"files,omitempty"`
+	Declared []DeclarationChange `json:"declared,omitempty"`
 	// Bulk is set when the changes are too large to be listed.
 	Bulk bool `json:"bulk,omitempty"`
 }
--- a/lhstore/page.go
+++ b/lhstore/page.go
@@ -27,11 +27,11 @@
 type page struct {
 	// Files holds the text of each file by name.
 	Files map[string]string `json:"files,omitempty"`
-	// Numbers holds the number of each backend server by its serverKey.
-	Numbers map[string]uint32 `json:"numbers,omitempty"`
+	// Declared holds what the files of all pages declare, by name.
+	Declared map[string]Declaration `json:"declared,omitempty"`
 }
 
-// pageOf returns the index of the page for a file name or a server's key.
+// pageOf returns the index of the page for the name of a file or declaration.
 func pageOf(name string) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name))
@@ -40,19 +40,19 @@
 
 // clone returns a copy that may be changed until it is shared.
 func (p page) clone() page {
-	c := page{Files: maps.Clone(p.Files), Numbers: maps.Clone(p.Numbers)}
+	c := page{Files: maps.Clone(p.Files), Declared: maps.Clone(p.Declared)}
 	if c.Files == nil {
 		c.Files = map[string]string{}
 	}
-	if c.Numbers == nil {
-		c.Numbers = map[string]uint32{}
+	if c.Declared == nil {
+		c.Declared = map[string]Declaration{}
 	}
 	return c
 }
 
 // hash returns the name of the page's contents; empty for an empty page.
 func (p page) hash() string {
-	if len(p.Files) == 0 && len(p.Numbers) == 0 {
+	if len(p.Files) == 0 && len(p.Declared) == 0 {
 		return ""
 	}
 	// Maps are encoded in the order of their keys, so equal pages have equal hashes.
--- a/lhstore/restore.go
+++ b/lhstore/restore.go
@@ -26,7 +26,7 @@
 	}
 	next := *held
 	if before.Revision == held.position.Revision {
-		next = held.successor(id, nil, held.numbered())
+		next = held.successor(id, nil, held.Config())
 	}
 	stamp := fmt.Sprintf("%s turn %d", id, before.Turn)
 	if err := writeSnapshot(ctx, store, &Snapshot{}, &next, stamp); err != nil {
--- a/lhstore/runner.go
+++ b/lhstore/runner.go
@@ -23,7 +23,6 @@
 // contents from peers and gives them to others.
 type Runner struct {
 	store   Watcher
-	check   Check
 	deliver func(lhconf.Config)
 	// watching tells whether this VM watches the head at present.
 	watching func() bool
@@ -54,14 +53,10 @@
 
 // NewRunner returns a Runner that calls deliver with each configuration once it
 // is accepted, with rising revisions. It asks watching whether this VM is one of
-// those that watch the store. A nil check stands for CheckFolder.
-func NewRunner(store Watcher, check Check, watching func() bool, deliver func(lhconf.Config)) *Runner {
-	if check == nil {
-		check = CheckFolder
-	}
+// those that watch the store.
+func NewRunner(store Watcher, watching func() bool, deliver func(lhconf.Config)) *Runner {
 	return &Runner{
 		store:    store,
-		check:    check,
 		deliver:  deliver,
 		watching: watching,
 		start:    time.Now(),
@@ -212,14 +207,7 @@
 	if err := r.wants(next.position); err != nil {
 		return err
 	}
-	config, err := next.Config(r.check)
-	if err != nil {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.follower.Reject(next.position)
-		return err
-	}
-	r.deliver(config)
+	r.deliver(next.Config())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.snapshot = next
--- a/lhstore/snapshot.go
+++ b/lhstore/snapshot.go
@@ -43,35 +43,23 @@
 	return files
 }
 
-// Config returns the configuration that check makes of the files, under the
-// snapshot's revision and with the numbers that its servers were given.
-func (s *Snapshot) Config(check Check) (lhconf.Config, error) {
-	config, err := check(s.Files())
-	if err != nil {
-		return lhconf.Config{}, err
-	}
-	config.Revision = s.position.Revision
-	config.NextNumber = s.manifest.NextNumber
-	config.Servers = slices.Clone(config.Servers)
-	for i, key := range serverKeys(config) {
-		config.Servers[i].Number = s.pages[pageOf(key)].Numbers[key]
+// Config returns the configuration of the snapshot, sorted by names.
+func (s *Snapshot) Config() lhconf.Config {
+	config := lhconf.Config{
+		Revision:   s.position.Revision,
+		NextNumber: s.manifest.NextNumber,
+		Files:      s.Files(),
 	}
-	return config, nil
-}
-
-// numbered returns a configuration with nothing but the servers that have numbers.
-func (s *Snapshot) numbered() lhconf.Config {
-	config := lhconf.Config{Revision: s.position.Revision, NextNumber: s.manifest.NextNumber}
 	for _, p := range s.pages {
-		for key, number := range p.Numbers {
-			addServer(&config, key, number)
+		for _, d := range p.Declared {
+			d.addTo(&config)
 		}
 	}
-	slices.SortFunc(config.Servers, func(a, b lhconf.BackendServer) int { return int(a.Number) - int(b.Number) })
+	sortConfig(&config)
 	return config
 }
 
-// successor returns the next revision, with files changed and the numbers of config.
+// successor returns the next revision, with files changed and what config declares.
 func (s *Snapshot) successor(apply string, files []FileText, config lhconf.Config) Snapshot {
 	m := Manifest{
 		Revision:   s.position.Revision + 1,
@@ -79,11 +67,11 @@
 		Previous:   s.position.Digest,
 		NextNumber: config.NextNumber,
 		Files:      files,
-		Numbers:    s.numbersGiven(config),
+		Declared:   s.compare(config),
 	}
 	next := s.changed(m)
 	if size(m) > inlineLimit {
-		m.Files, m.Numbers, m.Bulk = nil, nil, true
+		m.Files, m.Declared, m.Bulk = nil, nil, true
 	}
 	next.seal(m)
 	return next
@@ -121,11 +109,11 @@
 			at(f.Name).Files[f.Name] = f.Text
 		}
 	}
-	for _, n := range m.Numbers {
-		if n.Number == 0 {
-			delete(at(n.Server).Numbers, n.Server)
+	for _, d := range m.Declared {
+		if d.removed() {
+			delete(at(d.Name).Declared, d.Name)
 		} else {
-			at(n.Server).Numbers[n.Server] = n.Number
+			at(d.Name).Declared[d.Name] = d.Declaration
 		}
 	}
 	for i, changed := range touched {
@@ -142,25 +130,24 @@
 	s.manifest, s.position = m, m.Position()
 }
 
-// numbersGiven returns how the numbers of config's servers differ from the snapshot's.
-func (s *Snapshot) numbersGiven(config lhconf.Config) []NumberGiven {
-	var given []NumberGiven
-	kept := map[string]bool{}
-	for i, key := range serverKeys(config) {
-		kept[key] = true
-		if number := config.Servers[i].Number; s.pages[pageOf(key)].Numbers[key] != number {
-			given = append(given, NumberGiven{Server: key, Number: number})
+// compare returns how what config declares differs from the snapshot.
+func (s *Snapshot) compare(config lhconf.Config) []DeclarationChange {
+	var changes []DeclarationChange
+	wanted := declarations(config)
+	for name, d := range wanted {
+		if !d.equal(s.pages[pageOf(name)].Declared[name]) {
+			changes = append(changes, DeclarationChange{Name: name, Declaration: d})
 		}
 	}
 	for _, p := range s.pages {
-		for key := range p.Numbers {
-			if !kept[key] {
-				given = append(given, NumberGiven{Server: key})
+		for name := range p.Declared {
+			if wanted[name].removed() {
+				changes = append(changes, DeclarationChange{Name: name})
 			}
 		}
 	}
-	slices.SortFunc(given, func(a, b NumberGiven) int { return strings.Compare(a.Server, b.Server) })
-	return given
+	slices.SortFunc(changes, func(a, b DeclarationChange) int { return strings.Compare(a.Name, b.Name) })
+	return changes
 }
 
 // Open returns the snapshot that the store's head names.
@@ -240,8 +227,5 @@
 	for _, f := range m.Files {
 		total += len(f.Name) + len(f.Text)
 	}
-	for _, n := range m.Numbers {
-		total += len(n.Server)
-	}
-	return total
+	return total + len(m.Declared)*declaredSize
 }
