--- a/lhstore/apply.go
+++ b/lhstore/apply.go
@@ -12,14 +12,6 @@
 // maxAttempts bounds how often an apply starts over because others were faster.
 const maxAttempts = 32
 
-// Check merges the files of a folder into a configuration, or says what is wrong
-// with them.
-type Check func(files map[string]string) (lhconf.Config, error)
-
-// Assign gives the backend servers of next their numbers: those of previous to
-// servers that it holds, and new ones to the others.
-type Assign func(previous, next lhconf.Config) lhconf.Config
-
 // Store is what acceptance needs of the platform's service.
 type Store interface {
 	Getter
@@ -43,9 +35,15 @@
 	fleet Fleet
 }
 
-// NewApplier returns an Applier that accepts what check lets pass. A nil fleet
-// stands for one without VMs.
+// NewApplier returns an Applier that accepts what check lets pass. A nil check or
+// assign stands for those of lhconf, a nil fleet for one without VMs.
 func NewApplier(store Store, check Check, assign Assign, fleet Fleet) *Applier {
+	if check == nil {
+		check = lhconf.Check
+	}
+	if assign == nil {
+		assign = lhconf.Assign
+	}
 	return &Applier{store: store, check: check, assign: assign, fleet: fleet}
 }
 
@@ -158,7 +156,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	return held.successor(id, files, a.assign(held.numbered(), config)), nil
+	return held.successor(id, files, a.assign(held.Config(), config)), nil
 }
 
 // accept moves the head from before to a position whose contents are written.
