lhflow: doubt records after a pause, and let the later flow win after a cut

Cause: a VM that stood still kept the records that it owned as valid. TestPausedVM lets its port be used anew meanwhile: data of the new flow went to the old server. After a cut each side kept its own record of a port; TestHealedCut shows two flows. Ruled out: dropping packets until a peer has answered, which makes a busy machine lose packets; asking the other owner costs one hop instead. Change: after Limits.Pause without a beat no record counts until another owner has confirmed it. A record handed over replaces one that has long been idle, or that has not come as far.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -70,6 +70,7 @@
 	e.engine = lhflow.NewEngine(0, placer{e}, lhflow.Limits{
 		Flows:   s.Flows,
 		Lease:   s.Lease,
+		Pause:   s.Suspect,
 		IdleTCP: s.IdleTCP,
 		IdleUDP: s.IdleUDP,
 	})
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -146,6 +146,7 @@
 		case <-ticker.C:
 		}
 		now := e.now()
+		e.engine.Beat(now)
 		e.engine.Expire(now, part)
 		for _, a := range e.node.Unreachable() {
 			if now-a.Since < missingLimit {
--- a/lhentry/state.go
+++ b/lhentry/state.go
@@ -140,6 +140,7 @@
 	sums["peer_deaths"] = c.Deaths
 	sums["peer_rejoins"] = c.Rejoins
 	sums["view_changes"] = c.Views
+	sums["pauses"] = e.engine.Pauses()
 	s := e.runner.State()
 	sums["store_failures"] = s.Counts.Failed
 	sums["store_lower"] = s.Counts.Lower
--- a/lhflow/engine.go
+++ b/lhflow/engine.go
@@ -24,6 +24,9 @@
 	// IdleTCP and IdleUDP are how long a flow without packets is kept.
 	IdleTCP time.Duration
 	IdleUDP time.Duration
+	// Pause is how long a VM may stand still until its records count as doubtful,
+	// because others may own its flows by now.
+	Pause time.Duration
 	// Grace is how long after the loss of a member packets of unknown flows are
 	// dropped, for the caller to repeat, before they are reset.
 	Grace time.Duration
@@ -38,6 +41,7 @@
 	defaultRefuse  = 5 * time.Second
 	defaultIdleTCP = 24 * time.Hour
 	defaultIdleUDP = 5 * time.Minute
+	defaultPause   = 2 * time.Second
 	defaultGrace   = 60 * time.Second
 )
 
@@ -73,6 +77,7 @@
 	setDefault(&l.Refuse, defaultRefuse)
 	setDefault(&l.IdleTCP, defaultIdleTCP)
 	setDefault(&l.IdleUDP, defaultIdleUDP)
+	setDefault(&l.Pause, defaultPause)
 	setDefault(&l.Grace, defaultGrace)
 	return l
 }
@@ -98,7 +103,11 @@
 	// loss of a member that had not left; 0 for never.
 	changed atomic.Uint32
 	lost    atomic.Uint32
-	// sweep serializes changes of view.
+	// beat is the tick of the last Beat; 0 before the first.
+	beat atomic.Uint32
+	// pauses counts how often the VM has stood still for too long.
+	pauses atomic.Uint64
+	// sweep serializes changes of view and of doubt.
 	sweep   sync.Mutex
 	pending pending
 }
@@ -119,6 +128,9 @@
 
 // Handle decides what happens to one packet.
 func (e *Engine) Handle(ev Event) Verdict {
+	if e.pausedAt(ev.Now) {
+		e.doubt(ev.Now)
+	}
 	switch ev.Relay.Kind {
 	case RelayCopy:
 		return e.copy(&ev)
--- a/lhflow/engine_test.go
+++ b/lhflow/engine_test.go
@@ -203,3 +203,45 @@
 		assert.Assert(t, !g.fromServer(vm, 3-server, 0, 0, 10).caller)
 	}
 }
+
+// TestPausedVM lets the first owner stand still while its port is used anew at
+// another server. Its own record must not send the new flow to the old server.
+func TestPausedVM(t *testing.T) {
+	g := newGroup()
+	for vm := range 3 {
+		g.engine(vm).Beat(g.now)
+	}
+	server := g.open(7)
+	rest := []Member{{ID: memberOf(g.second), State: Active}, {ID: memberOf(g.third), State: Active}}
+	g.members(g.now, g.second, rest)
+	g.members(g.now, g.third, rest)
+	g.drain(server)
+	g.now += time.Minute
+	for _, vm := range []int{g.second, g.third} {
+		g.engine(vm).Beat(g.now)
+	}
+	assert.Equal(t, g.open(90_000), 3-server)
+	assert.Equal(t, g.fromCaller(g.first, ACK, 90_101, 10).server, 3-server)
+	assert.Equal(t, g.engine(g.first).Pauses(), uint64(1))
+}
+
+// TestHealedCut lets two owners place two flows from one port one after the other
+// while they can't reach each other. The later one stands at both afterwards.
+func TestHealedCut(t *testing.T) {
+	g := newGroup()
+	alone := func(vm int) []Member { return []Member{{ID: memberOf(vm), State: Active}} }
+	g.members(g.now, g.first, alone(g.first))
+	g.members(g.now, g.second, alone(g.second))
+	server := g.fromCaller(g.first, SYN, 7, 0).server
+	g.drain(server)
+	g.now += time.Minute
+	assert.Equal(t, g.fromCaller(g.second, SYN, 90_000, 0).server, 3-server)
+	g.fromServer(g.second, 3-server, SYN|ACK, 90_001, 0)
+	both := append(alone(g.first), alone(g.second)...)
+	g.members(g.now, g.first, both)
+	g.members(g.now, g.second, both)
+	g.settle(g.now)
+	for _, vm := range []int{g.first, g.second} {
+		assert.Equal(t, g.fromCaller(vm, ACK, 90_001, 10).server, 3-server)
+	}
+}
--- a/lhflow/handover.go
+++ b/lhflow/handover.go
@@ -210,17 +210,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	mine, known := s.get(r.ID)
-	if known && mine.has(owned) {
+	if known && mine.has(owned) && !supersedes(ticks(now), r, &mine) {
 		return
 	}
 	en := received(ticks(now), r)
 	if r.ISN == 0 {
 		en.marks |= datagram
 	}
+	if known && mine.has(counted) {
+		e.tell(now, Ended, &mine, [16]byte{})
+	}
 	e.account(now, r.ID, &en, view)
 	e.storeLocked(s, r.ID, en)
 }
 
+// supersedes reports whether a record that another owner hands over goes before
+// this VM's own, as after a cut. Of the same flow the one goes that has come
+// further; of two flows from one port this VM's own, unless it has long been idle.
+func supersedes(now tick, r Record, mine *entry) bool {
+	if r.ISN == mine.isn {
+		return r.Server != mine.server && mine.state == Opening && r.State > Opening
+	}
+	return now.after(mine.seen) > settle
+}
+
 // Expire removes the records of one part of the table whose time is over; part
 // counts through the calls, each of which looks at one sixty-fourth.
 func (e *Engine) Expire(now time.Duration, part int) {
