--- a/lhwork/ledger.go
+++ b/lhwork/ledger.go
@@ -26,8 +26,10 @@
 // answer "not known". So does an owner for an identity that another VM may have
 // owned before: it runs only identities minted after all VMs knew it as the owner,
 // and others once the RetryHorizon has passed since then. While a member is lost,
-// nobody runs the identities that it owns; should the platform say that it is
-// gone for good, the next owner takes over in the same way.
+// nobody runs the identities that it owns, and a VM that has joined since runs
+// none; should the platform say that the member is gone for good, the next owner
+// takes over in the same way. This holds as long as each side of a cut keeps a
+// member from before it, of which those that join there learn who is lost.
 type Ledger struct {
 	// mu guards owners, which is replaced and never changed.
 	mu     sync.RWMutex
--- a/lhwork/ownership.go
+++ b/lhwork/ownership.go
@@ -49,14 +49,14 @@
 	return o
 }
 
-// vouches reports whether no VM but this one can have owned the unit's identity
-// since it was minted.
+// vouches reports whether no VM but this one can have run the unit since it was
+// minted.
 func (o *ownership) vouches(now time.Duration, u Unit) bool {
 	if o == nil {
 		return true
 	}
 	id := IdentityID(u.Identity)
-	if o.owner(id) != o.self || o.heirOfLost(id) {
+	if !o.mine(id) {
 		return false
 	}
 	for ; o.before != nil || o.since != 0; o = o.before {
@@ -64,18 +64,26 @@
 		if now >= certain+RetryHorizon || u.Minted >= certain {
 			return true
 		}
-		if o.before == nil || o.before.owner(id) != o.self {
+		if o.before == nil || !o.before.mine(id) {
 			return false
 		}
 	}
 	return true
 }
 
-// heirOfLost reports whether a lost member that never knew this VM as an owner
-// would own the identity without it, and so may run the identity.
-func (o *ownership) heirOfLost(id lhflow.ID) bool {
-	next := first(id, o.owners, o.self)
-	return slices.Contains(o.lost, next) && !slices.Contains(o.met, next)
+// mine reports whether this VM owns the identity and no other can take itself for
+// the owner, as far as this VM knows.
+func (o *ownership) mine(id lhflow.ID) bool { return o.owner(id) == o.self && !o.strangerLost() }
+
+// strangerLost reports whether a lost member may not know this VM as an owner. Its
+// side may then take another VM for the owner of what this VM owns.
+func (o *ownership) strangerLost() bool {
+	for _, m := range o.lost {
+		if !slices.Contains(o.met, m) {
+			return true
+		}
+	}
+	return false
 }
 
 // metBy returns the members that have met this VM as an owner by now.
@@ -95,7 +103,17 @@
 	return met
 }
 
-func (o *ownership) owner(id lhflow.ID) lhflow.MemberID { return first(id, o.owners, 0) }
+// owner returns the first member in rendezvous order.
+func (o *ownership) owner(id lhflow.ID) lhflow.MemberID {
+	var best lhflow.MemberID
+	var high uint64
+	for _, m := range o.owners {
+		if r := lhflow.Rank(id, uint64(m)); best == 0 || r > high {
+			best, high = m, r
+		}
+	}
+	return best
+}
 
 // recent returns the ownership without those that no longer matter at now.
 func (o *ownership) recent(now time.Duration) *ownership {
@@ -110,15 +128,3 @@
 	kept.before = o.before.recent(now)
 	return &kept
 }
-
-// first returns the first member in rendezvous order, leaving out one.
-func first(id lhflow.ID, members []lhflow.MemberID, except lhflow.MemberID) lhflow.MemberID {
-	var best lhflow.MemberID
-	var high uint64
-	for _, m := range members {
-		if r := lhflow.Rank(id, uint64(m)); m != except && (best == 0 || r > high) {
-			best, high = m, r
-		}
-	}
-	return best
-}
--- a/lhwork/part.go
+++ b/lhwork/part.go
@@ -12,10 +12,10 @@
 //
 // While VMs can reach each other, and a joining VM is announced before it owns
 // flows for as long as a change takes to reach all, the parts of all owners add
-// up to 1 at most. Where k of n owners began to own flows sooner than that, they
-// add up to 1 + k/n at most. Cut into sides that can't reach each other, each side
-// adds up to 1 at most, as it must to go on alone. Limits are rounded up, so that
-// the sum over n owners exceeds a limit by n-1 at most besides.
+// up to 1 at most. Owners that began to own flows sooner than that add their own
+// parts, no more. Cut into sides that can't reach each other, each side adds up to
+// 1 at most, as it must to go on alone. Limits are rounded up, so that the sum
+// over n owners exceeds a limit by n-1 at most besides.
 //
 // The zero Part is that of a VM on its own.
 type Part struct {
--- /dev/null
+++ b/lhwork/part_test.go
@@ -0,0 +1,106 @@
+package lhwork_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/laburnumhollow/laburnumhollow/lhwork"
+)
+
+// change is a VM that is announced, owns flows later, and goes.
+type change struct{ announced, owns, gone time.Duration }
+
+// TestPartsAddUp lets VMs join, leave and be killed, each VM hearing of each
+// change at its own time within PartHold, and adds up the parts of all owners.
+func TestPartsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const end, step = 120 * time.Second, 500 * time.Millisecond
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		within := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+		vms := make([]change, rapid.IntRange(1, 12).Draw(t, "vms"))
+		early := make([]bool, len(vms))
+		for i := range vms {
+			v := &vms[i]
+			v.gone = within(2 * end)
+			if i > 0 && random.IntN(2) == 0 {
+				v.announced = within(end)
+				v.owns = v.announced + lhwork.PartHold
+				if early[i] = random.IntN(4) == 0; early[i] {
+					v.owns = v.announced + within(lhwork.PartHold)
+				}
+				v.gone = v.owns + within(end)
+			}
+		}
+		type news struct{ joined, gone time.Duration }
+		heard := make([][]news, len(vms))
+		for i := range vms {
+			for j := range vms {
+				n := news{vms[j].announced + within(lhwork.PartHold), vms[j].gone + within(lhwork.PartHold)}
+				if i == j || vms[j].announced == 0 {
+					n.joined = vms[j].announced
+				}
+				heard[i] = append(heard[i], n)
+			}
+		}
+		parts, seen := make([]lhwork.Part, len(vms)), make([]int, len(vms))
+		for now := time.Duration(0); now < end; now += step {
+			sum, rounded, owners := 0.0, 0, 0
+			const limit = 100
+			for i, v := range vms {
+				if now < v.announced || now >= v.gone {
+					continue
+				}
+				members := 0
+				for j, n := range heard[i] {
+					if now >= n.joined && (j == i || now < n.gone) {
+						members++
+					}
+				}
+				if members != seen[i] {
+					parts[i].See(now, members)
+					seen[i] = members
+				}
+				if now >= v.owns && !early[i] {
+					sum += parts[i].Fraction(now)
+					rounded += int(math.Ceil(limit*parts[i].Fraction(now) - 1e-9))
+					owners++
+				}
+			}
+			assert.Assert(t, sum <= 1+1e-9, "parts add up to %v at %v", sum, now)
+			assert.Assert(t, owners == 0 || rounded <= limit+owners-1, "limits add up to %d", rounded)
+		}
+	})
+}
+
+func TestPartGrowsLate(t *testing.T) {
+	var p lhwork.Part
+	assert.Equal(t, p.Fraction(0), 1.0)
+	p.See(10*time.Second, 4)
+	p.See(20*time.Second, 8)
+	assert.Equal(t, p.Fraction(20*time.Second), 1.0/8)
+	p.See(30*time.Second, 2)
+	p.See(31*time.Second, 4)
+	assert.Equal(t, p.Fraction(30*time.Second+lhwork.PartHold), 1.0/8)
+	assert.Equal(t, p.Fraction(31*time.Second+lhwork.PartHold), 1.0/4)
+}
+
+func TestBudgetIsOneTenth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b lhwork.Budget
+		first, retries := 0, 0
+		for range rapid.IntRange(0, 3000).Draw(t, "events") {
+			if rapid.IntRange(0, 3).Draw(t, "event") > 0 {
+				b.First()
+				first++
+			} else if b.Take() {
+				retries++
+			}
+			assert.Assert(t, 10*retries <= first, "%d retries of %d", retries, first)
+		}
+	})
+}
