lhwork: count each member of a part for itself

Cause: a part of one over the largest number of members seen lately is too large when two members are missing by mistake one after the other, since no view held both.

--- a/lhwork/controller.go
+++ b/lhwork/controller.go
@@ -46,7 +46,7 @@
 	return s.part.Fraction(now)
 }
 
-func (s *sharedPart) see(now time.Duration, members int) {
+func (s *sharedPart) see(now time.Duration, members []lhflow.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.part.See(now, members)
@@ -82,7 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.view = view
-	c.part.see(now, len(view.Members))
+	c.part.see(now, view.Members)
 	c.ledger.setMembers(now, view, lost)
 	s := c.state.Load()
 	if s == nil {
--- a/lhwork/ledger_test.go
+++ b/lhwork/ledger_test.go
@@ -97,7 +97,9 @@
 	return w
 }
 
-func (w *world) within(d time.Duration) time.Duration { return time.Duration(w.random.Int64N(int64(d))) }
+func (w *world) within(d time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(d)))
+}
 
 // apart reports whether two VMs can't reach each other.
 func (w *world) apart(a, b *worldVM, now time.Duration) bool {
--- a/lhwork/part_test.go
+++ b/lhwork/part_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
 	"github.com/laburnumhollow/laburnumhollow/lhwork"
 )
 
@@ -16,7 +17,8 @@
 type change struct{ announced, owns, gone time.Duration }
 
 // TestPartsAddUp lets VMs join, leave and be killed, each VM hearing of each
-// change at its own time within PartHold, and adds up the parts of all owners.
+// change at its own time within PartHold and missing each other by mistake for less
+// than that, and adds up the parts of all owners.
 func TestPartsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const end, step = 120 * time.Second, 500 * time.Millisecond
@@ -36,18 +38,24 @@
 				v.gone = v.owns + within(end)
 			}
 		}
-		type news struct{ joined, gone time.Duration }
+		type news struct{ joined, gone, missed, found time.Duration }
 		heard := make([][]news, len(vms))
 		for i := range vms {
 			for j := range vms {
-				n := news{vms[j].announced + within(lhwork.PartHold), vms[j].gone + within(lhwork.PartHold)}
+				missed := within(end)
+				n := news{
+					joined: vms[j].announced + within(lhwork.PartHold),
+					gone:   vms[j].gone + within(lhwork.PartHold),
+					missed: missed,
+					found:  missed + within(lhwork.PartHold),
+				}
 				if i == j || vms[j].announced == 0 {
 					n.joined = vms[j].announced
 				}
 				heard[i] = append(heard[i], n)
 			}
 		}
-		parts, seen := make([]lhwork.Part, len(vms)), make([]int, len(vms))
+		parts := make([]lhwork.Part, len(vms))
 		for now := time.Duration(0); now < end; now += step {
 			sum, rounded, owners := 0.0, 0, 0
 			const limit = 100
@@ -55,16 +63,14 @@
 				if now < v.announced || now >= v.gone {
 					continue
 				}
-				members := 0
+				var members []lhflow.Member
 				for j, n := range heard[i] {
-					if now >= n.joined && (j == i || now < n.gone) {
-						members++
+					missing := now >= n.missed && now < n.found && now >= vms[j].owns+step
+					if now >= n.joined && (j == i || now < n.gone && !missing) {
+						members = append(members, lhflow.Member{ID: lhflow.MemberID(j + 1)})
 					}
 				}
-				if members != seen[i] {
-					parts[i].See(now, members)
-					seen[i] = members
-				}
+				parts[i].See(now, members)
 				if now >= v.owns && !early[i] {
 					sum += parts[i].Fraction(now)
 					rounded += int(math.Ceil(limit*parts[i].Fraction(now) - 1e-9))
@@ -80,11 +86,12 @@
 func TestPartGrowsLate(t *testing.T) {
 	var p lhwork.Part
 	assert.Equal(t, p.Fraction(0), 1.0)
-	p.See(10*time.Second, 4)
-	p.See(20*time.Second, 8)
+	all := members(8)
+	p.See(10*time.Second, all[:4])
+	p.See(20*time.Second, all)
 	assert.Equal(t, p.Fraction(20*time.Second), 1.0/8)
-	p.See(30*time.Second, 2)
-	p.See(31*time.Second, 4)
+	p.See(30*time.Second, all[:2])
+	p.See(31*time.Second, all[:4])
 	assert.Equal(t, p.Fraction(30*time.Second+lhwork.PartHold), 1.0/8)
 	assert.Equal(t, p.Fraction(31*time.Second+lhwork.PartHold), 1.0/4)
 }
