lhwork: limit half-open flows by kind, by caller prefix and by time

Cause: 50,000 SYNs a second that are never completed filled one kind's room for flows, and its callers kept 0.040 of their flows. Ruled out: a smaller limit for the service alone (then every kind kept 0.01 to 0.02), and a timeout that follows the rate of opened flows (it grows long again once flows are refused).

Change: a kind within its share of the half-open limit is not refused for the others' handshakes; the time that a handshake may take falls from 10 s to 50 ms as the limit fills; one caller prefix may have an eighth of the limit.

--- a/lhwork/event.go
+++ b/lhwork/event.go
@@ -16,6 +16,7 @@
 		k.load.opened(now)
 		p.opened.add(now, completionLifetime)
 		p.halfOpen.add(now, HandshakeLongest)
+		k.halfOpen.add(now, HandshakeLongest)
 		c.syns.add(now, f.Caller)
 	})
 }
@@ -52,7 +53,7 @@
 		s.load.established(now)
 		k.load.established(now)
 		p.completed.add(now, completionLifetime)
-		c.handshakeOver(now, p, f)
+		c.handshakeOver(now, f, p, k)
 	})
 }
 
@@ -132,11 +133,12 @@
 	s.load.left(now, f.Phase)
 	k.load.left(now, f.Phase)
 	if f.Phase == PhaseOpening {
-		c.handshakeOver(now, p, f)
+		c.handshakeOver(now, f, p, k)
 	}
 }
 
-func (c *Controller) handshakeOver(now time.Duration, p *pool, f Flow) {
+func (c *Controller) handshakeOver(now time.Duration, f Flow, p *pool, k *kind) {
+	k.halfOpen.remove(now, HandshakeLongest)
 	p.halfOpen.remove(now, HandshakeLongest)
 	c.syns.remove(now, f.Caller)
 }
--- a/lhwork/kind.go
+++ b/lhwork/kind.go
@@ -17,6 +17,8 @@
 	// held is the number of flows of the kind that are not closed.
 	held int
 	load load
+	// halfOpen counts the handshakes under way.
+	halfOpen window
 	// offered counts the units that asked for admission.
 	offered gauge
 	// want is how many units of the kind would be in work if all were admitted, and
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -12,7 +12,7 @@
 	// refreshPeriod is the time between two looks at weights, limits and grants.
 	refreshPeriod = 20 * time.Millisecond
 	// halfOpenPart is the part of the flows that may be half-open.
-	halfOpenPart = 0.25
+	halfOpenPart = 1.0 / 8
 	// halfOpenMin is the least limit of half-open flows.
 	halfOpenMin = 256
 	// completionLifetime is the time over which completed handshakes are counted.
@@ -70,7 +70,7 @@
 func (p *pool) admit(now time.Duration, k *kind) Reason {
 	k.offered.add(now, demandLifetime)
 	switch {
-	case p.halfOpen.read(now, HandshakeLongest) >= p.halfOpenLimit():
+	case !p.hasHalfOpen(now, k):
 		return ReasonHalfOpen
 	case k.full(p.fraction):
 		return ReasonKindFlows
@@ -83,6 +83,16 @@
 	return ReasonNone
 }
 
+// hasHalfOpen reports whether another flow of kind k may be half-open. A kind within
+// its share of the limit may, however many there are of the others.
+func (p *pool) hasHalfOpen(now time.Duration, k *kind) bool {
+	limit := p.halfOpenLimit()
+	if p.halfOpen.read(now, HandshakeLongest) < limit {
+		return true
+	}
+	return k.halfOpen.read(now, HandshakeLongest) < k.share()*limit
+}
+
 // hasFlows reports whether another flow of kind k may be held. Flows can last, so
 // room is lent only beyond what the other kinds' shares still need.
 func (p *pool) hasFlows(k *kind) bool {
--- a/lhwork/prefix.go
+++ b/lhwork/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"sync"
 	"time"
 )
@@ -10,7 +11,7 @@
 	// HandshakeLongest is how long a half-open flow may last where there are few.
 	HandshakeLongest = 10 * time.Second
 	// HandshakeShortest is how long one may last however many there are.
-	HandshakeShortest = 100 * time.Millisecond
+	HandshakeShortest = 50 * time.Millisecond
 	// prefixPart is the part of the half-open flows that callers of one prefix may
 	// have.
 	prefixPart = 1.0 / 8
@@ -68,13 +69,11 @@
 	return prefix ^ prefix>>32
 }
 
-// handshakeTimeout lets half-open flows last as long as their rate leaves half of
-// their limit free.
+// handshakeTimeout falls from HandshakeLongest to HandshakeShortest while the
+// half-open flows grow from a quarter to three quarters of their limit.
 func (p *pool) handshakeTimeout(now time.Duration) time.Duration {
-	rate := p.opened.rate(now, completionLifetime)
-	if rate == 0 {
-		return HandshakeLongest
-	}
-	fill := time.Duration(p.halfOpenLimit() / 2 / rate * float64(time.Second))
-	return min(max(fill, HandshakeShortest), HandshakeLongest)
+	fill := p.halfOpen.read(now, HandshakeLongest) / p.halfOpenLimit()
+	fall := min(max(2*fill-0.5, 0), 1)
+	ratio := float64(HandshakeShortest) / float64(HandshakeLongest)
+	return time.Duration(float64(HandshakeLongest) * math.Pow(ratio, fall))
 }
