--- a/lhwork/choose_test.go
+++ b/lhwork/choose_test.go
@@ -193,3 +193,29 @@
 	assert.Check(t, during < usual/3)
 	assert.Check(t, after > usual*0.7)
 }
+
+// TestReportsYield lets a report count while nothing is seen of a server, and not
+// once flows show what it can do; the contradiction is counted.
+func TestReportsYield(t *testing.T) {
+	c := &lhwork.Controller{}
+	c.SetTable(0, lhplace.NewTable(fleet(2)))
+	part := func(now time.Duration) float64 { return c.Snapshot(now).Services[0].Servers[0].Part }
+	usual := part(time.Second)
+	now := 10 * time.Second
+	c.Report(now, 1, 1)
+	assert.Assert(t, part(now) < usual/4, "a full server that nothing else is known of")
+	c.Answered(now, lhwork.Flow{Server: 1}, wire)
+	now += time.Second
+	assert.Equal(t, part(now), usual, "it answers")
+	c.Report(now, 1, 1)
+	assert.Equal(t, c.Snapshot(now).Services[0].Servers[0].Disagreed, uint64(1), "idle, and reports to be full")
+	for range 20 {
+		now += 10 * time.Millisecond
+		f := lhwork.Flow{Server: 1}
+		c.Opened(now, f)
+		c.Established(now, f)
+	}
+	now += 500 * time.Millisecond
+	c.Report(now, 1, 0)
+	assert.Equal(t, c.Snapshot(now).Services[0].Servers[0].Disagreed, uint64(2), "busy, and reports to be idle")
+}
