lhsock: give each worker a handle of its own on the data socket

Cause: the runtime lets one goroutine at a time read a net.UDPConn, and one write it, so an entry process with several workers forwarded no more than with one. Ruled out: SO_REUSEPORT, which ties all packets of one outer sender to one worker, and batched system calls through x/net, which allocate an address for each packet. A Socket duplicates its file descriptor instead; the loop that reads a handle stood three times and now stands here once. The benchmark has as many senders and receivers as workers.

No allocation.

--- a/lhentry/bench_test.go
+++ b/lhentry/bench_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +15,7 @@
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
 	"github.com/laburnumhollow/laburnumhollow/lhstand"
 	"github.com/laburnumhollow/laburnumhollow/lhwire"
 )
@@ -35,14 +36,15 @@
 	benchService = netip.MustParseAddrPort("198.51.100.1:443")
 )
 
-// BenchmarkForward sends packets of known flows from a fabric's socket to a backend
+// BenchmarkForward sends packets of known flows from a fabric's sockets to a backend
 // server's: directly, through a bare UDP relay and through an entry process, in
-// turns. It prints nanoseconds for each packet on the way (ns/pkt) and of processor
-// time (cpu-ns/pkt, of sender and receiver too), and what part of the relay's
-// packets a second the entry process reaches.
+// turns. There are as many senders and receivers as workers. It prints nanoseconds
+// for each packet on the way (ns/pkt) and of processor time (cpu-ns/pkt, of senders
+// and receivers too), and what part of the relay's packets a second the entry
+// process reaches.
 func BenchmarkForward(b *testing.B) {
 	for _, size := range []int{64, 1300} {
-		for _, workers := range []int{1, 4} {
+		for _, workers := range []int{1, 3} {
 			b.Run(fmt.Sprintf("bytes=%d/workers=%d", size, workers), func(b *testing.B) {
 				newForwardBench(b, size, workers).run(b)
 			})
@@ -53,11 +55,12 @@
 // TestKnownFlowDoesNotAllocate covers decoding, deciding and sending.
 func TestKnownFlowDoesNotAllocate(t *testing.T) {
 	f := newForwardBench(t, 1300, 1)
-	worker := newForwarder(f.entry)
+	worker := newForwarder(f.entry, f.entry.socket.Handles()[0])
+	buf := make([]byte, lhsock.MaxDatagram)
 	allocs := testing.AllocsPerRun(benchWindow, func() {
 		// A packet is changed when it is forwarded, so each run takes a copy.
-		n := copy(worker.in, f.packets[0])
-		worker.packet(worker.in[:n], local(f.fabric), f.entry.now())
+		n := copy(buf, f.packets[0])
+		worker.packet(buf[:n], f.senders[0].Address(), f.entry.now())
 	})
 	assert.Equal(t, allocs, 0.0)
 	assert.Equal(t, worker.counts[CountToServer].Load(), uint64(benchWindow+1))
@@ -65,11 +68,19 @@
 
 // forwardBench is the sockets and packets of one benchmark.
 type forwardBench struct {
-	fabric, server *net.UDPConn
-	entry          *Entry
+	// senders are the fabric's sockets; the first one takes answers.
+	senders []*lhsock.Socket
+	server  *lhsock.Socket
+	entry   *Entry
 	// packets holds a data segment of each flow.
 	packets [][]byte
 	ways    []way
+	// credits holds one for each packet under way.
+	credits chan struct{}
+	// left counts the packets of the round that were not received yet.
+	left atomic.Int64
+	// received tells that none is left.
+	received chan struct{}
 }
 
 // way is where packets are sent to reach the server, and what that took.
@@ -82,11 +93,18 @@
 }
 
 func newForwardBench(b testing.TB, size, workers int) *forwardBench {
-	f := &forwardBench{fabric: listen(b, "127.0.1.1"), server: listen(b, "127.0.2.1")}
+	f := &forwardBench{
+		server:   open(b, "127.0.2.1:0", workers),
+		credits:  make(chan struct{}, benchWindow),
+		received: make(chan struct{}),
+	}
+	for range workers {
+		f.senders = append(f.senders, open(b, "127.0.1.1:0", 1))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	relay := &lhstand.Relay{Fabric: local(f.fabric), Server: local(f.server)}
-	assert.NilError(b, relay.Open(benchAny))
-	ends := []<-chan error{relay.Run(ctx, workers), f.startEntry(ctx, b, workers)}
+	relay := &lhstand.Relay{Fabric: f.senders[0].Address(), Server: f.server.Address()}
+	assert.NilError(b, relay.Open(benchAny, workers))
+	ends := []<-chan error{relay.Run(ctx), f.startEntry(ctx, b, workers)}
 	b.Cleanup(func() {
 		cancel()
 		for _, ended := range ends {
@@ -94,7 +112,7 @@
 		}
 	})
 	f.ways = []way{
-		{name: "direct", to: local(f.server)},
+		{name: "direct", to: f.server.Address()},
 		{name: "relay", to: relay.Address()},
 		{name: "entry", to: f.entry.Data()},
 	}
@@ -102,16 +120,11 @@
 	return f
 }
 
-func listen(b testing.TB, host string) *net.UDPConn {
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(host)})
+func open(b testing.TB, address string, handles int) *lhsock.Socket {
+	s, err := lhsock.Open(netip.MustParseAddrPort(address), handles)
 	assert.NilError(b, err)
-	b.Cleanup(func() { _ = socket.Close() })
-	_ = socket.SetReadBuffer(socketBuffer)
-	return socket
-}
-
-func local(socket *net.UDPConn) netip.AddrPort {
-	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	b.Cleanup(func() { assert.NilError(b, s.Close()) })
+	return s
 }
 
 // startEntry runs an entry process with one service and one backend server.
@@ -125,8 +138,8 @@
 	s.Control = benchAny
 	s.Ops = benchAny
 	s.Platform = platform.URL()
-	s.Fabric = []netip.Addr{local(f.fabric).Addr()}
-	s.FabricTo = local(f.fabric)
+	s.Fabric = []netip.Addr{f.senders[0].Address().Addr()}
+	s.FabricTo = f.senders[0].Address()
 	s.Workers = workers
 	e, err := New(s, zerolog.Nop())
 	assert.NilError(b, err)
@@ -134,7 +147,7 @@
 		Revision: 1,
 		Services: []lhconf.Service{{Name: "cutdesk", Address: benchService, Proto: lhflow.TCP}},
 		Servers: []lhconf.BackendServer{{
-			Number: 1, Name: "s1", Service: "cutdesk", Address: local(f.server),
+			Number: 1, Name: "s1", Service: "cutdesk", Address: f.server.Address(),
 			Weight: 1, Slots: 2 * benchFlows, Flows: 2 * benchFlows,
 		}},
 	})
@@ -157,30 +170,28 @@
 		syn := lhwire.Segment{From: caller, To: benchService, Flags: lhflow.SYN, Seq: 1}
 		answer := lhwire.Segment{From: benchService, To: caller, Flags: lhflow.SYN | lhflow.ACK, Seq: 1, Ack: 2}
 		ack := lhwire.Segment{From: caller, To: benchService, Flags: lhflow.ACK, Seq: 2, Ack: 2}
-		f.exchange(b, f.fabric, f.server, syn)
-		f.exchange(b, f.server, f.fabric, answer)
-		f.exchange(b, f.fabric, f.server, ack)
+		f.exchange(b, f.senders[0], f.server, syn)
+		f.exchange(b, f.server, f.senders[0], answer)
+		f.exchange(b, f.senders[0], f.server, ack)
 		ack.Data = make([]byte, size)
 		f.packets = append(f.packets, lhwire.AppendGeneve(nil, ack.Inner(), 0, lhflow.Relay{}))
 	}
 }
 
 // exchange sends a segment through the entry process and waits for it.
-func (f *forwardBench) exchange(b testing.TB, from, to *net.UDPConn, s lhwire.Segment) {
+func (f *forwardBench) exchange(b testing.TB, from, to *lhsock.Socket, s lhwire.Segment) {
 	buf := lhwire.AppendGeneve(nil, s.Inner(), 0, lhflow.Relay{})
-	_, err := from.WriteToUDPAddrPort(buf, f.entry.Data())
+	_, err := from.Handles()[0].WriteToUDPAddrPort(buf, f.entry.Data())
 	assert.NilError(b, err)
-	f.take(b, to)
-}
-
-func (f *forwardBench) take(b testing.TB, socket *net.UDPConn) {
-	var buf [bufferSize]byte
-	assert.NilError(b, socket.SetReadDeadline(time.Now().Add(benchPatience)))
-	_, _, err := socket.ReadFromUDPAddrPort(buf[:])
+	receiver := to.Handles()[0]
+	assert.NilError(b, receiver.SetReadDeadline(time.Now().Add(benchPatience)))
+	_, _, err = receiver.ReadFromUDPAddrPort(make([]byte, lhsock.MaxDatagram))
 	assert.NilError(b, err)
+	assert.NilError(b, receiver.SetReadDeadline(time.Time{}))
 }
 
 func (f *forwardBench) run(b *testing.B) {
+	stop := f.receive()
 	b.ResetTimer()
 	for sent := 0; sent < b.N; {
 		round := min(benchRound, b.N-sent)
@@ -190,6 +201,7 @@
 		sent += round
 	}
 	b.StopTimer()
+	stop()
 	for _, w := range f.ways {
 		b.ReportMetric(w.each(w.wall), w.name+"-ns/pkt")
 		b.ReportMetric(w.each(w.cpu), w.name+"-cpu-ns/pkt")
@@ -201,42 +213,66 @@
 
 func (w way) each(d time.Duration) float64 { return float64(d) / float64(w.packets) }
 
-// round sends packets one way, with a window of them under way, and receives all.
+// receive takes packets off the server's socket and gives a credit back for each,
+// until the returned function is called.
+func (f *forwardBench) receive() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	for _, h := range f.server.Handles() {
+		go func() { ended <- lhsock.Serve(ctx, h, f.take, nil) }()
+	}
+	return func() {
+		cancel()
+		for _, h := range f.server.Handles() {
+			_ = h.SetReadDeadline(time.Now())
+			<-ended
+		}
+	}
+}
+
+func (f *forwardBench) take([]byte, netip.AddrPort) {
+	<-f.credits
+	if f.left.Add(-1) == 0 {
+		f.received <- struct{}{}
+	}
+}
+
+// round sends packets one way, with a window of them under way, and waits until all
+// are received.
 func (f *forwardBench) round(b *testing.B, w *way, packets int) {
-	credits := make(chan struct{}, benchWindow)
-	received := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), benchPatience)
+	defer cancel()
+	f.left.Store(int64(packets))
 	began, cpu := time.Now(), processorTime(b)
-	go func() { received <- f.receive(packets, credits) }()
-	for n := range packets {
-		select {
-		case credits <- struct{}{}:
-		case err := <-received:
-			b.Fatalf("%s: %v", w.name, err)
-		}
-		if _, err := f.fabric.WriteToUDPAddrPort(f.packets[n%benchFlows], w.to); err != nil {
-			b.Fatal(err)
-		}
+	ended := make(chan error, len(f.senders))
+	for i := range f.senders {
+		go func() { ended <- f.send(ctx, i, w.to, packets) }()
+	}
+	for range f.senders {
+		assert.NilError(b, <-ended, w.name)
 	}
-	if err := <-received; err != nil {
-		b.Fatalf("%s: %v", w.name, err)
+	select {
+	case <-f.received:
+	case <-ctx.Done():
+		b.Fatalf("%s: %d packets were lost", w.name, f.left.Load())
 	}
 	w.packets += packets
 	w.wall += time.Since(began)
 	w.cpu += processorTime(b) - cpu
 }
 
-// receive takes packets off the server's socket and gives a credit back for each.
-// It ends early when a packet was lost.
-func (f *forwardBench) receive(packets int, credits <-chan struct{}) error {
-	buf := make([]byte, bufferSize)
-	if err := f.server.SetReadDeadline(time.Now().Add(benchPatience)); err != nil {
-		return err
-	}
-	for range packets {
-		if _, _, err := f.server.ReadFromUDPAddrPort(buf); err != nil {
+// send sends every packet of a round whose turn it is sender's.
+func (f *forwardBench) send(ctx context.Context, sender int, to netip.AddrPort, packets int) error {
+	handle := f.senders[sender].Handles()[0]
+	for n := sender; n < packets; n += len(f.senders) {
+		select {
+		case f.credits <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if _, err := handle.WriteToUDPAddrPort(f.packets[n%benchFlows], to); err != nil {
 			return err
 		}
-		<-credits
 	}
 	return nil
 }
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumhollow/laburnumhollow/lhops"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer"
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
 	"github.com/laburnumhollow/laburnumhollow/lhstore"
 	"github.com/laburnumhollow/laburnumhollow/lhwire"
 	"github.com/laburnumhollow/laburnumhollow/lhwork"
@@ -26,8 +27,6 @@
 const (
 	outerIPv4 = 20 + 8
 	outerIPv6 = 40 + 8
-	// socketBuffer is what the system is asked to keep of packets not yet read.
-	socketBuffer = 8 << 20
 )
 
 // Entry is the process on one entry VM.
@@ -37,7 +36,7 @@
 	started  time.Time
 	// fabric holds the addresses that callers' packets come from.
 	fabric map[netip.Addr]bool
-	socket *net.UDPConn
+	socket *lhsock.Socket
 	ops    net.Listener
 	engine *lhflow.Engine
 	work   lhwork.Controller
@@ -82,13 +81,14 @@
 }
 
 func (e *Entry) listen() error {
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.settings.Data))
+	workers := e.settings.Workers
+	if workers == 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	socket, err := lhsock.Open(e.settings.Data, workers)
 	if err != nil {
-		return lhcode.Wrap(lhcode.SocketFailed, err, "open the data socket")
+		return err
 	}
-	// A system that grants less is no reason not to start.
-	_ = socket.SetReadBuffer(socketBuffer)
-	_ = socket.SetWriteBuffer(socketBuffer)
 	ops, err := net.Listen("tcp", e.settings.Ops.String())
 	if err != nil {
 		_ = socket.Close()
@@ -119,18 +119,14 @@
 }
 
 func (e *Entry) addWorkers() {
-	n := e.settings.Workers
-	if n == 0 {
-		n = runtime.GOMAXPROCS(0)
-	}
-	for range n {
-		e.workers = append(e.workers, newForwarder(e))
+	for _, h := range e.socket.Handles() {
+		e.workers = append(e.workers, newForwarder(e, h))
 	}
 }
 
 // Data returns the address that the process receives Geneve packets at.
 func (e *Entry) Data() netip.AddrPort {
-	return e.socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	return e.socket.Address()
 }
 
 // Ops returns the address that the process serves operators at.
--- a/lhentry/forward.go
+++ b/lhentry/forward.go
@@ -2,47 +2,35 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
 	"github.com/laburnumhollow/laburnumhollow/lhwire"
 )
 
-// bufferSize holds the largest UDP datagram, in bytes.
-const bufferSize = 1 << 16
-
 // forwarder reads packets and carries out what the engine decides. Each worker
 // has one of its own.
 type forwarder struct {
-	entry   *Entry
+	entry *Entry
+	// handle is the worker's own handle of the entry's socket.
+	handle  *net.UDPConn
 	decoder lhwire.Decoder
 	counters
-	in  []byte
 	out []byte
 }
 
-func newForwarder(e *Entry) *forwarder {
-	return &forwarder{entry: e, in: make([]byte, bufferSize), out: make([]byte, 0, bufferSize)}
+func newForwarder(e *Entry, handle *net.UDPConn) *forwarder {
+	return &forwarder{entry: e, handle: handle, out: make([]byte, 0, lhsock.MaxDatagram)}
 }
 
 // run forwards packets until the context ends or the socket is closed.
 func (f *forwarder) run(ctx context.Context) error {
-	for {
-		n, from, err := f.entry.socket.ReadFromUDPAddrPort(f.in)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// A UDP socket reports an earlier send's ICMP error here.
-			f.add(CountSendFailed)
-			continue
-		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		f.packet(f.in[:n], from, f.entry.now())
-	}
+	return lhsock.Serve(ctx, f.handle,
+		func(datagram []byte, from netip.AddrPort) { f.packet(datagram, from, f.entry.now()) },
+		func() { f.add(CountSendFailed) })
 }
 
 // packet handles one datagram.
@@ -201,7 +189,7 @@
 }
 
 func (f *forwarder) write(to netip.AddrPort) {
-	if _, err := f.entry.socket.WriteToUDPAddrPort(f.out, to); err != nil {
+	if _, err := f.handle.WriteToUDPAddrPort(f.out, to); err != nil {
 		f.add(CountSendFailed)
 	}
 }
--- /dev/null
+++ b/lhsock/socket.go
@@ -0,0 +1,101 @@
+package lhsock
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+)
+
+const (
+	// MaxDatagram is the size of the largest UDP datagram in bytes.
+	MaxDatagram = 1 << 16
+	// bufferSize is what the system is asked to keep of datagrams that were not read
+	// or sent yet, in bytes.
+	bufferSize = 8 << 20
+)
+
+// Socket is one UDP socket with several handles.
+type Socket struct {
+	// handles share the socket; there is at least one.
+	handles []*net.UDPConn
+}
+
+// Open opens a socket at an address, where port 0 lets the system choose, with so
+// many handles.
+func Open(address netip.AddrPort, handles int) (*Socket, error) {
+	first, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, lhcode.Wrap(lhcode.SocketFailed, err, "open a UDP socket")
+	}
+	// A system that grants less is no reason not to start.
+	_ = first.SetReadBuffer(bufferSize)
+	_ = first.SetWriteBuffer(bufferSize)
+	s := &Socket{handles: []*net.UDPConn{first}}
+	for len(s.handles) < handles {
+		h, err := duplicate(first)
+		if err != nil {
+			_ = s.Close()
+			return nil, lhcode.Wrap(lhcode.SocketFailed, err, "duplicate a UDP socket")
+		}
+		s.handles = append(s.handles, h)
+	}
+	return s, nil
+}
+
+// duplicate returns another handle of a socket.
+func duplicate(c *net.UDPConn) (*net.UDPConn, error) {
+	file, err := c.File()
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	conn, err := net.FilePacketConn(file)
+	if err != nil {
+		return nil, err
+	}
+	return conn.(*net.UDPConn), nil
+}
+
+// Handles returns the handles.
+func (s *Socket) Handles() []*net.UDPConn { return s.handles }
+
+// Address returns the address that the socket is open at.
+func (s *Socket) Address() netip.AddrPort {
+	return unmap(s.handles[0].LocalAddr().(*net.UDPAddr).AddrPort())
+}
+
+// Close closes all handles, which ends their Serve.
+func (s *Socket) Close() error {
+	var all error
+	for _, h := range s.handles {
+		all = errors.Join(all, h.Close())
+	}
+	return all
+}
+
+// Serve reads datagrams from a handle and calls handle for each, with an IPv4
+// sender in its 4-byte form. The datagram is valid during the call. Serve returns
+// nil once the context has ended or the handle was closed. It goes on after other
+// errors, in which the system reports what became of datagrams sent earlier, and
+// calls failed for each unless it is nil.
+func Serve(ctx context.Context, h *net.UDPConn, handle func(datagram []byte, from netip.AddrPort), failed func()) error {
+	buf := make([]byte, MaxDatagram)
+	for {
+		n, from, err := h.ReadFromUDPAddrPort(buf)
+		switch {
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return nil
+		case err == nil:
+			handle(buf[:n], unmap(from))
+		case failed != nil:
+			failed()
+		}
+	}
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
--- a/lhstand/port.go
+++ b/lhstand/port.go
@@ -10,19 +10,13 @@
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
 	"github.com/laburnumhollow/laburnumhollow/lhwire"
 )
 
-const (
-	// bufferSize holds the largest UDP datagram, in bytes.
-	bufferSize = 1 << 16
-	// socketBuffer is what the system is asked to keep of packets not yet read.
-	socketBuffer = 4 << 20
-)
-
 // port is a stand-in's UDP socket: it speaks Geneve with the entry VMs.
 type port struct {
-	socket *net.UDPConn
+	socket *lhsock.Socket
 	done   chan error
 	// in and out apply the faults of the network in each direction.
 	in, out *link
@@ -34,12 +28,10 @@
 
 // openPort opens a socket at an address; port 0 lets the system choose.
 func openPort(address netip.AddrPort, seed uint64) (*port, error) {
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	socket, err := lhsock.Open(address, 1)
 	if err != nil {
 		return nil, err
 	}
-	_ = socket.SetReadBuffer(socketBuffer)
-	_ = socket.SetWriteBuffer(socketBuffer)
 	return &port{
 		socket: socket,
 		done:   make(chan error, 1),
@@ -63,31 +55,21 @@
 }
 
 func (p *port) read(ctx context.Context, handle func(time.Time, *lhwire.Packet)) error {
-	buf := make([]byte, bufferSize)
 	var decoder lhwire.Decoder
 	deliver := func(datagram []byte) {
 		if packet, fault := decoder.Decode(datagram); fault == lhwire.FaultNone {
 			handle(time.Now(), packet)
 		}
 	}
-	for {
-		n, _, err := p.socket.ReadFromUDPAddrPort(buf)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			// A UDP socket reports an earlier send's ICMP error here.
-			continue
-		}
-		p.in.pass(buf[:n], deliver)
-	}
+	return lhsock.Serve(ctx, p.handle(), func(datagram []byte, _ netip.AddrPort) {
+		p.in.pass(datagram, deliver)
+	}, nil)
 }
 
+func (p *port) handle() *net.UDPConn { return p.socket.Handles()[0] }
+
 // address returns the socket's address.
-func (p *port) address() netip.AddrPort {
-	a := p.socket.LocalAddr().(*net.UDPAddr).AddrPort()
-	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
-}
+func (p *port) address() netip.AddrPort { return p.socket.Address() }
 
 func (p *port) setMembers(members []netip.AddrPort) {
 	p.mu.Lock()
@@ -115,5 +97,5 @@
 // send sends an inner packet to a member.
 func (p *port) send(inner []byte, to netip.AddrPort) {
 	buf := lhwire.AppendGeneve(make([]byte, 0, len(inner)+lhwire.Overhead), inner, 0, lhflow.Relay{})
-	p.out.pass(buf, func(b []byte) { _, _ = p.socket.WriteToUDPAddrPort(b, to) })
+	p.out.pass(buf, func(b []byte) { _, _ = p.handle().WriteToUDPAddrPort(b, to) })
 }
--- a/lhstand/relay.go
+++ b/lhstand/relay.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/netip"
+
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
 )
 
 // Relay passes datagrams between a fabric and one backend server and looks into
@@ -13,39 +15,33 @@
 	// Fabric and Server are the two ends. Set them before Run.
 	Fabric, Server netip.AddrPort
 
-	socket *net.UDPConn
+	socket *lhsock.Socket
 }
 
-// Open opens the relay's socket.
-func (r *Relay) Open(address netip.AddrPort) error {
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		return err
-	}
-	_ = socket.SetReadBuffer(socketBuffer)
-	_ = socket.SetWriteBuffer(socketBuffer)
+// Open opens the relay's socket for so many goroutines.
+func (r *Relay) Open(address netip.AddrPort, workers int) error {
+	socket, err := lhsock.Open(address, workers)
 	r.socket = socket
-	return nil
+	return err
 }
 
 // Address returns where the relay receives datagrams.
-func (r *Relay) Address() netip.AddrPort {
-	return r.socket.LocalAddr().(*net.UDPAddr).AddrPort()
-}
+func (r *Relay) Address() netip.AddrPort { return r.socket.Address() }
 
-// Run passes datagrams on, in so many goroutines, until the context ends. The
-// channel then gives an error or nil.
-func (r *Relay) Run(ctx context.Context, workers int) <-chan error {
+// Run passes datagrams on until the context ends. The channel then gives an error
+// or nil.
+func (r *Relay) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() { _ = r.socket.Close() })
-	ended := make(chan error, workers)
-	for range workers {
-		go func() { ended <- r.forward(ctx) }()
+	handles := r.socket.Handles()
+	ended := make(chan error, len(handles))
+	for _, h := range handles {
+		go func() { ended <- r.forward(ctx, h) }()
 	}
 	go func() {
 		defer stop()
 		var all error
-		for range workers {
+		for range handles {
 			all = errors.Join(all, <-ended)
 		}
 		done <- all
@@ -53,20 +49,12 @@
 	return done
 }
 
-func (r *Relay) forward(ctx context.Context) error {
-	buf := make([]byte, bufferSize)
-	for {
-		n, from, err := r.socket.ReadFromUDPAddrPort(buf)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue
-		}
+func (r *Relay) forward(ctx context.Context, h *net.UDPConn) error {
+	return lhsock.Serve(ctx, h, func(datagram []byte, from netip.AddrPort) {
 		to := r.Server
-		if from.Addr().Unmap() == r.Server.Addr() && from.Port() == r.Server.Port() {
+		if from == r.Server {
 			to = r.Fabric
 		}
-		_, _ = r.socket.WriteToUDPAddrPort(buf[:n], to)
-	}
+		_, _ = h.WriteToUDPAddrPort(datagram, to)
+	}, nil)
 }
--- a/lhstand/stand_test.go
+++ b/lhstand/stand_test.go
@@ -30,8 +30,8 @@
 	members := make([]netip.AddrPort, relays)
 	for i := range members {
 		r := &Relay{Fabric: fabric.Address(), Server: server.Address()}
-		assert.NilError(t, r.Open(loopback))
-		ends = append(ends, r.Run(ctx, 1))
+		assert.NilError(t, r.Open(loopback, 1))
+		ends = append(ends, r.Run(ctx))
 		members[i] = r.Address()
 	}
 	fabric.SetMembers(members...)
