lhstand: measure ways to a server with a Meter

Cause: the harness that sends packets in a window and waits for them stood in lhentry's benchmark, out of reach of other measurements.

--- a/lhentry/bench_test.go
+++ b/lhentry/bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,10 +22,10 @@
 const (
 	// benchFlows is how many known flows the packets belong to.
 	benchFlows = 1000
-	// benchWindow is how many packets are on their way at a time.
-	benchWindow = 256
 	// benchRound is how many packets go one way before the next way's turn.
 	benchRound = 20_000
+	// benchRuns is how many packets are checked for allocations.
+	benchRuns = 200
 	// benchPatience bounds the wait for a packet that was lost.
 	benchPatience = 10 * time.Second
 )
@@ -57,30 +56,21 @@
 	f := newForwardBench(t, 1300, 1)
 	worker := newForwarder(f.entry, f.entry.socket.Handles()[0])
 	buf := make([]byte, lhsock.MaxDatagram)
-	allocs := testing.AllocsPerRun(benchWindow, func() {
+	allocs := testing.AllocsPerRun(benchRuns, func() {
 		// A packet is changed when it is forwarded, so each run takes a copy.
-		n := copy(buf, f.packets[0])
-		worker.packet(buf[:n], f.senders[0].Address(), f.entry.now())
+		n := copy(buf, f.meter.Packets[0])
+		worker.packet(buf[:n], f.meter.Senders[0].Address(), f.entry.now())
 	})
 	assert.Equal(t, allocs, 0.0)
-	assert.Equal(t, worker.counts[CountToServer].Load(), uint64(benchWindow+1))
+	assert.Equal(t, worker.counts[CountToServer].Load(), uint64(benchRuns+1))
 }
 
 // forwardBench is the sockets and packets of one benchmark.
 type forwardBench struct {
-	// senders are the fabric's sockets; the first one takes answers.
-	senders []*lhsock.Socket
-	server  *lhsock.Socket
-	entry   *Entry
-	// packets holds a data segment of each flow.
-	packets [][]byte
-	ways    []way
-	// credits holds one for each packet under way.
-	credits chan struct{}
-	// left counts the packets of the round that were not received yet.
-	left atomic.Int64
-	// received tells that none is left.
-	received chan struct{}
+	// meter sends a data segment of each flow; its first sender takes answers.
+	meter lhstand.Meter
+	entry *Entry
+	ways  []way
 }
 
 // way is where packets are sent to reach the server, and what that took.
@@ -93,16 +83,14 @@
 }
 
 func newForwardBench(b testing.TB, size, workers int) *forwardBench {
-	f := &forwardBench{
-		server:   open(b, "127.0.2.1:0", workers),
-		credits:  make(chan struct{}, benchWindow),
-		received: make(chan struct{}),
-	}
+	f := &forwardBench{meter: lhstand.Meter{
+		Server: open(b, "127.0.2.1:0", workers), Patience: benchPatience,
+	}}
 	for range workers {
-		f.senders = append(f.senders, open(b, "127.0.1.1:0", 1))
+		f.meter.Senders = append(f.meter.Senders, open(b, "127.0.1.1:0", 1))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	relay := &lhstand.Relay{Fabric: f.senders[0].Address(), Server: f.server.Address()}
+	relay := &lhstand.Relay{Fabric: f.meter.Senders[0].Address(), Server: f.meter.Server.Address()}
 	assert.NilError(b, relay.Open(benchAny, workers))
 	ends := []<-chan error{relay.Run(ctx), f.startEntry(ctx, b, workers)}
 	b.Cleanup(func() {
@@ -112,7 +100,7 @@
 		}
 	})
 	f.ways = []way{
-		{name: "direct", to: f.server.Address()},
+		{name: "direct", to: f.meter.Server.Address()},
 		{name: "relay", to: relay.Address()},
 		{name: "entry", to: f.entry.Data()},
 	}
@@ -138,8 +126,8 @@
 	s.Control = benchAny
 	s.Ops = benchAny
 	s.Platform = platform.URL()
-	s.Fabric = []netip.Addr{f.senders[0].Address().Addr()}
-	s.FabricTo = f.senders[0].Address()
+	s.Fabric = []netip.Addr{f.meter.Senders[0].Address().Addr()}
+	s.FabricTo = f.meter.Senders[0].Address()
 	s.Workers = workers
 	e, err := New(s, zerolog.Nop())
 	assert.NilError(b, err)
@@ -147,7 +135,7 @@
 		Revision: 1,
 		Services: []lhconf.Service{{Name: "cutdesk", Address: benchService, Proto: lhflow.TCP}},
 		Servers: []lhconf.BackendServer{{
-			Number: 1, Name: "s1", Service: "cutdesk", Address: f.server.Address(),
+			Number: 1, Name: "s1", Service: "cutdesk", Address: f.meter.Server.Address(),
 			Weight: 1, Slots: 2 * benchFlows, Flows: 2 * benchFlows,
 		}},
 	})
@@ -170,11 +158,11 @@
 		syn := lhwire.Segment{From: caller, To: benchService, Flags: lhflow.SYN, Seq: 1}
 		answer := lhwire.Segment{From: benchService, To: caller, Flags: lhflow.SYN | lhflow.ACK, Seq: 1, Ack: 2}
 		ack := lhwire.Segment{From: caller, To: benchService, Flags: lhflow.ACK, Seq: 2, Ack: 2}
-		f.exchange(b, f.senders[0], f.server, syn)
-		f.exchange(b, f.server, f.senders[0], answer)
-		f.exchange(b, f.senders[0], f.server, ack)
+		f.exchange(b, f.meter.Senders[0], f.meter.Server, syn)
+		f.exchange(b, f.meter.Server, f.meter.Senders[0], answer)
+		f.exchange(b, f.meter.Senders[0], f.meter.Server, ack)
 		ack.Data = make([]byte, size)
-		f.packets = append(f.packets, lhwire.AppendGeneve(nil, ack.Inner(), 0, lhflow.Relay{}))
+		f.meter.Packets = append(f.meter.Packets, lhwire.AppendGeneve(nil, ack.Inner(), 0, lhflow.Relay{}))
 	}
 }
 
@@ -191,7 +179,8 @@
 }
 
 func (f *forwardBench) run(b *testing.B) {
-	stop := f.receive()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := f.meter.Run(ctx)
 	b.ResetTimer()
 	for sent := 0; sent < b.N; {
 		round := min(benchRound, b.N-sent)
@@ -201,7 +190,11 @@
 		sent += round
 	}
 	b.StopTimer()
-	stop()
+	cancel()
+	for _, h := range f.meter.Server.Handles() {
+		assert.NilError(b, h.SetReadDeadline(time.Now()))
+		assert.NilError(b, <-ended)
+	}
 	for _, w := range f.ways {
 		b.ReportMetric(w.each(w.wall), w.name+"-ns/pkt")
 		b.ReportMetric(w.each(w.cpu), w.name+"-cpu-ns/pkt")
@@ -213,70 +206,16 @@
 
 func (w way) each(d time.Duration) float64 { return float64(d) / float64(w.packets) }
 
-// receive takes packets off the server's socket and gives a credit back for each,
-// until the returned function is called.
-func (f *forwardBench) receive() (stop func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error)
-	for _, h := range f.server.Handles() {
-		go func() { ended <- lhsock.Serve(ctx, h, f.take, nil) }()
-	}
-	return func() {
-		cancel()
-		for _, h := range f.server.Handles() {
-			_ = h.SetReadDeadline(time.Now())
-			<-ended
-		}
-	}
-}
-
-func (f *forwardBench) take([]byte, netip.AddrPort) {
-	<-f.credits
-	if f.left.Add(-1) == 0 {
-		f.received <- struct{}{}
-	}
-}
-
-// round sends packets one way, with a window of them under way, and waits until all
-// are received.
+// round sends packets one way and adds up what that took.
 func (f *forwardBench) round(b *testing.B, w *way, packets int) {
-	ctx, cancel := context.WithTimeout(context.Background(), benchPatience)
-	defer cancel()
-	f.left.Store(int64(packets))
-	began, cpu := time.Now(), processorTime(b)
-	ended := make(chan error, len(f.senders))
-	for i := range f.senders {
-		go func() { ended <- f.send(ctx, i, w.to, packets) }()
-	}
-	for range f.senders {
-		assert.NilError(b, <-ended, w.name)
-	}
-	select {
-	case <-f.received:
-	case <-ctx.Done():
-		b.Fatalf("%s: %d packets were lost", w.name, f.left.Load())
-	}
+	cpu := processorTime(b)
+	wall, err := f.meter.Round(context.Background(), w.to, packets)
+	assert.NilError(b, err, w.name)
 	w.packets += packets
-	w.wall += time.Since(began)
+	w.wall += wall
 	w.cpu += processorTime(b) - cpu
 }
 
-// send sends every packet of a round whose turn it is sender's.
-func (f *forwardBench) send(ctx context.Context, sender int, to netip.AddrPort, packets int) error {
-	handle := f.senders[sender].Handles()[0]
-	for n := sender; n < packets; n += len(f.senders) {
-		select {
-		case f.credits <- struct{}{}:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if _, err := handle.WriteToUDPAddrPort(f.packets[n%benchFlows], to); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // processorTime returns the processor time that this process has used.
 func processorTime(b *testing.B) time.Duration {
 	var u syscall.Rusage
