--- a/lhentry/bench_test.go
+++ b/lhentry/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"syscall"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
 	"github.com/laburnumhollow/laburnumhollow/lhstand"
 	"github.com/laburnumhollow/laburnumhollow/lhwire"
 )
@@ -22,10 +22,10 @@
 const (
 	// benchFlows is how many known flows the packets belong to.
 	benchFlows = 1000
-	// benchWindow is how many packets are on their way at a time.
-	benchWindow = 256
 	// benchRound is how many packets go one way before the next way's turn.
 	benchRound = 20_000
+	// benchRuns is how many packets are checked for allocations.
+	benchRuns = 200
 	// benchPatience bounds the wait for a packet that was lost.
 	benchPatience = 10 * time.Second
 )
@@ -35,14 +35,15 @@
 	benchService = netip.MustParseAddrPort("198.51.100.1:443")
 )
 
-// BenchmarkForward sends packets of known flows from a fabric's socket to a backend
+// BenchmarkForward sends packets of known flows from a fabric's sockets to a backend
 // server's: directly, through a bare UDP relay and through an entry process, in
-// turns. It prints nanoseconds for each packet on the way (ns/pkt) and of processor
-// time (cpu-ns/pkt, of sender and receiver too), and what part of the relay's
-// packets a second the entry process reaches.
+// turns. There are as many senders and receivers as workers. It prints nanoseconds
+// for each packet on the way (ns/pkt) and of processor time (cpu-ns/pkt, of senders
+// and receivers too), and what part of the relay's packets a second the entry
+// process reaches.
 func BenchmarkForward(b *testing.B) {
 	for _, size := range []int{64, 1300} {
-		for _, workers := range []int{1, 4} {
+		for _, workers := range []int{1, 3} {
 			b.Run(fmt.Sprintf("bytes=%d/workers=%d", size, workers), func(b *testing.B) {
 				newForwardBench(b, size, workers).run(b)
 			})
@@ -53,23 +54,23 @@
 // TestKnownFlowDoesNotAllocate covers decoding, deciding and sending.
 func TestKnownFlowDoesNotAllocate(t *testing.T) {
 	f := newForwardBench(t, 1300, 1)
-	worker := newForwarder(f.entry)
-	allocs := testing.AllocsPerRun(benchWindow, func() {
+	worker := newForwarder(f.entry, f.entry.socket.Handles()[0])
+	buf := make([]byte, lhsock.MaxDatagram)
+	allocs := testing.AllocsPerRun(benchRuns, func() {
 		// A packet is changed when it is forwarded, so each run takes a copy.
-		n := copy(worker.in, f.packets[0])
-		worker.packet(worker.in[:n], local(f.fabric), f.entry.now())
+		n := copy(buf, f.meter.Packets[0])
+		worker.packet(buf[:n], f.meter.Senders[0].Address(), f.entry.now())
 	})
 	assert.Equal(t, allocs, 0.0)
-	assert.Equal(t, worker.counts[CountToServer].Load(), uint64(benchWindow+1))
+	assert.Equal(t, worker.counts[CountToServer].Load(), uint64(benchRuns+1))
 }
 
 // forwardBench is the sockets and packets of one benchmark.
 type forwardBench struct {
-	fabric, server *net.UDPConn
-	entry          *Entry
-	// packets holds a data segment of each flow.
-	packets [][]byte
-	ways    []way
+	// meter sends a data segment of each flow; its first sender takes answers.
+	meter lhstand.Meter
+	entry *Entry
+	ways  []way
 }
 
 // way is where packets are sent to reach the server, and what that took.
@@ -82,11 +83,16 @@
 }
 
 func newForwardBench(b testing.TB, size, workers int) *forwardBench {
-	f := &forwardBench{fabric: listen(b, "127.0.1.1"), server: listen(b, "127.0.2.1")}
+	f := &forwardBench{meter: lhstand.Meter{
+		Server: open(b, "127.0.2.1:0", workers), Patience: benchPatience,
+	}}
+	for range workers {
+		f.meter.Senders = append(f.meter.Senders, open(b, "127.0.1.1:0", 1))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	relay := &lhstand.Relay{Fabric: local(f.fabric), Server: local(f.server)}
-	assert.NilError(b, relay.Open(benchAny))
-	ends := []<-chan error{relay.Run(ctx, workers), f.startEntry(ctx, b, workers)}
+	relay := &lhstand.Relay{Fabric: f.meter.Senders[0].Address(), Server: f.meter.Server.Address()}
+	assert.NilError(b, relay.Open(benchAny, workers))
+	ends := []<-chan error{relay.Run(ctx), f.startEntry(ctx, b, workers)}
 	b.Cleanup(func() {
 		cancel()
 		for _, ended := range ends {
@@ -94,7 +100,7 @@
 		}
 	})
 	f.ways = []way{
-		{name: "direct", to: local(f.server)},
+		{name: "direct", to: f.meter.Server.Address()},
 		{name: "relay", to: relay.Address()},
 		{name: "entry", to: f.entry.Data()},
 	}
@@ -102,16 +108,11 @@
 	return f
 }
 
-func listen(b testing.TB, host string) *net.UDPConn {
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(host)})
+func open(b testing.TB, address string, handles int) *lhsock.Socket {
+	s, err := lhsock.Open(netip.MustParseAddrPort(address), handles)
 	assert.NilError(b, err)
-	b.Cleanup(func() { _ = socket.Close() })
-	_ = socket.SetReadBuffer(socketBuffer)
-	return socket
-}
-
-func local(socket *net.UDPConn) netip.AddrPort {
-	return socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	b.Cleanup(func() { assert.NilError(b, s.Close()) })
+	return s
 }
 
 // startEntry runs an entry process with one service and one backend server.
@@ -125,8 +126,8 @@
 	s.Control = benchAny
 	s.Ops = benchAny
 	s.Platform = platform.URL()
-	s.Fabric = []netip.Addr{local(f.fabric).Addr()}
-	s.FabricTo = local(f.fabric)
+	s.Fabric = []netip.Addr{f.meter.Senders[0].Address().Addr()}
+	s.FabricTo = f.meter.Senders[0].Address()
 	s.Workers = workers
 	e, err := New(s, zerolog.Nop())
 	assert.NilError(b, err)
@@ -134,7 +135,7 @@
 		Revision: 1,
 		Services: []lhconf.Service{{Name: "cutdesk", Address: benchService, Proto: lhflow.TCP}},
 		Servers: []lhconf.BackendServer{{
-			Number: 1, Name: "s1", Service: "cutdesk", Address: local(f.server),
+			Number: 1, Name: "s1", Service: "cutdesk", Address: f.meter.Server.Address(),
 			Weight: 1, Slots: 2 * benchFlows, Flows: 2 * benchFlows,
 		}},
 	})
@@ -157,30 +158,29 @@
 		syn := lhwire.Segment{From: caller, To: benchService, Flags: lhflow.SYN, Seq: 1}
 		answer := lhwire.Segment{From: benchService, To: caller, Flags: lhflow.SYN | lhflow.ACK, Seq: 1, Ack: 2}
 		ack := lhwire.Segment{From: caller, To: benchService, Flags: lhflow.ACK, Seq: 2, Ack: 2}
-		f.exchange(b, f.fabric, f.server, syn)
-		f.exchange(b, f.server, f.fabric, answer)
-		f.exchange(b, f.fabric, f.server, ack)
+		f.exchange(b, f.meter.Senders[0], f.meter.Server, syn)
+		f.exchange(b, f.meter.Server, f.meter.Senders[0], answer)
+		f.exchange(b, f.meter.Senders[0], f.meter.Server, ack)
 		ack.Data = make([]byte, size)
-		f.packets = append(f.packets, lhwire.AppendGeneve(nil, ack.Inner(), 0, lhflow.Relay{}))
+		f.meter.Packets = append(f.meter.Packets, lhwire.AppendGeneve(nil, ack.Inner(), 0, lhflow.Relay{}))
 	}
 }
 
 // exchange sends a segment through the entry process and waits for it.
-func (f *forwardBench) exchange(b testing.TB, from, to *net.UDPConn, s lhwire.Segment) {
+func (f *forwardBench) exchange(b testing.TB, from, to *lhsock.Socket, s lhwire.Segment) {
 	buf := lhwire.AppendGeneve(nil, s.Inner(), 0, lhflow.Relay{})
-	_, err := from.WriteToUDPAddrPort(buf, f.entry.Data())
+	_, err := from.Handles()[0].WriteToUDPAddrPort(buf, f.entry.Data())
 	assert.NilError(b, err)
-	f.take(b, to)
-}
-
-func (f *forwardBench) take(b testing.TB, socket *net.UDPConn) {
-	var buf [bufferSize]byte
-	assert.NilError(b, socket.SetReadDeadline(time.Now().Add(benchPatience)))
-	_, _, err := socket.ReadFromUDPAddrPort(buf[:])
+	receiver := to.Handles()[0]
+	assert.NilError(b, receiver.SetReadDeadline(time.Now().Add(benchPatience)))
+	_, _, err = receiver.ReadFromUDPAddrPort(make([]byte, lhsock.MaxDatagram))
 	assert.NilError(b, err)
+	assert.NilError(b, receiver.SetReadDeadline(time.Time{}))
 }
 
 func (f *forwardBench) run(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := f.meter.Run(ctx)
 	b.ResetTimer()
 	for sent := 0; sent < b.N; {
 		round := min(benchRound, b.N-sent)
@@ -190,6 +190,11 @@
 		sent += round
 	}
 	b.StopTimer()
+	cancel()
+	for _, h := range f.meter.Server.Handles() {
+		assert.NilError(b, h.SetReadDeadline(time.Now()))
+		assert.NilError(b, <-ended)
+	}
 	for _, w := range f.ways {
 		b.ReportMetric(w.each(w.wall), w.name+"-ns/pkt")
 		b.ReportMetric(w.each(w.cpu), w.name+"-cpu-ns/pkt")
@@ -201,46 +206,16 @@
 
 func (w way) each(d time.Duration) float64 { return float64(d) / float64(w.packets) }
 
-// round sends packets one way, with a window of them under way, and receives all.
+// round sends packets one way and adds up what that took.
 func (f *forwardBench) round(b *testing.B, w *way, packets int) {
-	credits := make(chan struct{}, benchWindow)
-	received := make(chan error, 1)
-	began, cpu := time.Now(), processorTime(b)
-	go func() { received <- f.receive(packets, credits) }()
-	for n := range packets {
-		select {
-		case credits <- struct{}{}:
-		case err := <-received:
-			b.Fatalf("%s: %v", w.name, err)
-		}
-		if _, err := f.fabric.WriteToUDPAddrPort(f.packets[n%benchFlows], w.to); err != nil {
-			b.Fatal(err)
-		}
-	}
-	if err := <-received; err != nil {
-		b.Fatalf("%s: %v", w.name, err)
-	}
+	cpu := processorTime(b)
+	wall, err := f.meter.Round(context.Background(), w.to, packets)
+	assert.NilError(b, err, w.name)
 	w.packets += packets
-	w.wall += time.Since(began)
+	w.wall += wall
 	w.cpu += processorTime(b) - cpu
 }
 
-// receive takes packets off the server's socket and gives a credit back for each.
-// It ends early when a packet was lost.
-func (f *forwardBench) receive(packets int, credits <-chan struct{}) error {
-	buf := make([]byte, bufferSize)
-	if err := f.server.SetReadDeadline(time.Now().Add(benchPatience)); err != nil {
-		return err
-	}
-	for range packets {
-		if _, _, err := f.server.ReadFromUDPAddrPort(buf); err != nil {
-			return err
-		}
-		<-credits
-	}
-	return nil
-}
-
 // processorTime returns the processor time that this process has used.
 func processorTime(b *testing.B) time.Duration {
 	var u syscall.Rusage
