--- a/cmd/laburnumhollow/failure_test.go
+++ b/cmd/laburnumhollow/failure_test.go
@@ -263,3 +263,19 @@
 		assert.Equal(f.t, runs, 1, id)
 	}
 }
+
+// end stops one VM as planned and kills another at the same moment.
+func (f *fleet) end(leaving, killed *process) {
+	f.t.Helper()
+	f.signal(leaving, syscall.SIGTERM)
+	f.signal(killed, syscall.SIGKILL)
+	var rest []*process
+	for _, p := range f.running() {
+		if p != leaving && p != killed {
+			rest = append(rest, p)
+		}
+	}
+	f.route(rest...)
+	assert.ErrorContains(f.t, f.awaitEnd(killed), "killed")
+	assert.NilError(f.t, f.awaitEnd(leaving))
+}
--- a/lhflow/engine.go
+++ b/lhflow/engine.go
@@ -36,7 +36,7 @@
 const (
 	defaultFlows   = 500_000
 	defaultLease   = 2 * time.Second
-	defaultTeach   = 8
+	defaultTeach   = 4
 	defaultRetry   = 800 * time.Millisecond
 	defaultRefuse  = 5 * time.Second
 	defaultIdleTCP = 24 * time.Hour
