lhstore: let VMs restore a store that returned to an older state

Cause: a store below what VMs hold refused every apply until an operator restored it from a VM's contents, for which no command exists. Only a swap to a position that was in force already is needed, and two VMs that do it do no harm, so the VMs that watch do it themselves, one to two seconds after they found it and unless another has. Entry processes also run compaction now and again, those that watch only.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -211,11 +212,14 @@
 // its end on ended.
 func (e *Entry) start(ctx context.Context, ended chan<- error) int {
 	node, runner := e.node.Run(ctx), e.runner.Run(ctx)
+	compactor := lhstore.NewCompactor(e.store, e.holder(), lhstore.RetainedRevisions, time.Now)
+	compaction := compactor.Run(ctx, e.watching)
 	e.log.Info().Stringer("data", e.Data()).Stringer("control", e.Control()).Stringer("ops", e.Ops()).
 		Msg("listening")
 	parts := []func(context.Context) error{
 		func(context.Context) error { return <-node },
 		func(context.Context) error { return <-runner },
+		func(context.Context) error { return <-compaction },
 		e.serveOps,
 		e.handOver,
 		e.housekeep,
@@ -229,6 +233,11 @@
 	return len(parts)
 }
 
+// holder returns the name under which this run of the process asks for leases.
+func (e *Entry) holder() string {
+	return fmt.Sprintf("%s-%d", e.settings.Name, e.started.UnixNano())
+}
+
 // serveOps serves operators until the context ends.
 func (e *Entry) serveOps(ctx context.Context) error {
 	handler, err := lhops.NewHandler(e)
--- a/lhstore/compact.go
+++ b/lhstore/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -16,6 +17,9 @@
 // compactionLease is the name of the lease under which compaction runs.
 const compactionLease = "compaction"
 
+// CompactPeriod is the mean time between two runs of compaction by one VM.
+const CompactPeriod = time.Hour
+
 // CompactStore is what compaction needs of the platform's service.
 type CompactStore interface {
 	Store
@@ -42,6 +46,28 @@
 	return &Compactor{store: store, holder: holder, retained: max(retained, 1), clock: clock}
 }
 
+// Run compacts now and again while may reports true, until ctx ends, and then
+// sends nil on the channel that it returns. A run that fails is made up for by a
+// later one.
+func (c *Compactor) Run(ctx context.Context, may func() bool) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			timer := time.NewTimer(time.Duration((0.5 + rand.Float64()) * float64(CompactPeriod)))
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+				if may() {
+					_, _ = c.Compact(ctx)
+				}
+			}
+			timer.Stop()
+		}
+		ended <- nil
+	}()
+	return ended
+}
+
 // Compact runs once and returns the number of values removed.
 //
 // An apply writes its pages after it has read the head that it swaps. Compact
--- a/lhstore/follower.go
+++ b/lhstore/follower.go
@@ -19,6 +19,9 @@
 	maxBackoff        = time.Minute
 	firstWatchBackoff = 250 * time.Millisecond
 	maxWatchBackoff   = 4 * time.Second
+	// restoreSpread is the longest time that a VM which finds the store lower than
+	// itself leaves to others to restore it.
+	restoreSpread = 2 * time.Second
 )
 
 // Alarm is a state of the store that operators have to see to.
@@ -62,6 +65,20 @@
 	ETag  string
 }
 
+// HeadAction is what to do about the head that was read.
+type HeadAction uint8
+
+// The actions.
+const (
+	// HeadKeep leaves things as they are.
+	HeadKeep HeadAction = iota
+	// HeadLoad loads the contents that the head names. It ends in StoreAnswered
+	// or StoreFailed.
+	HeadLoad
+	// HeadRestore brings the store up to what this VM holds.
+	HeadRestore
+)
+
 // FollowerCounts count what a Follower has met.
 type FollowerCounts struct {
 	// Adopted are the revisions put in force.
@@ -87,9 +104,11 @@
 	// failures counts the calls without an answer since the last with one.
 	failures int
 	// due is when the store may be called again.
-	due    time.Duration
-	alarm  Alarm
-	counts FollowerCounts
+	due   time.Duration
+	alarm Alarm
+	// restoreDue is when to restore the store; 0 unless it was lower when last read.
+	restoreDue time.Duration
+	counts     FollowerCounts
 }
 
 // Held returns the position in force.
@@ -111,6 +130,10 @@
 // time; another reads it once to join and then now and again.
 func (f *Follower) Step(now time.Duration, watching bool) Step {
 	switch {
+	case watching && f.failures == 0 && f.restoreDue > now:
+		return Step{Kind: StepRest, Until: f.restoreDue}
+	case watching && f.failures == 0 && f.restoreDue > 0:
+		return Step{Kind: StepRead}
 	case watching && f.known && f.failures == 0:
 		return Step{Kind: StepWatch, ETag: f.etag}
 	case now < f.due && (!watching || f.failures > 0):
@@ -119,28 +142,38 @@
 	return Step{Kind: StepRead}
 }
 
-// HeadRead takes in the store's head and reports whether to load its contents,
-// which ends in StoreAnswered or StoreFailed.
-func (f *Follower) HeadRead(now time.Duration, at Position, etag string, chance float64) (load bool) {
+// HeadRead takes in the store's head. A store that is lower than what is in force
+// has returned to an older state: it is read again after a time that chance
+// spreads, and restored if no other VM has done it by then.
+func (f *Follower) HeadRead(now time.Duration, at Position, etag string, chance float64) HeadAction {
 	f.seen, f.etag, f.known = at, etag, true
 	f.due = now + time.Duration((0.5+chance)*float64(checkPeriod))
 	f.alarm = AlarmNone
+	restoreDue := f.restoreDue
+	f.restoreDue = 0
 	switch {
 	case at.Newer(f.held):
 		// Loading may still fail, so that the failures stay as they are.
-		return true
+		return HeadLoad
 	case f.held.Newer(at):
 		f.counts.Lower++
 		f.alarm = AlarmStoreLower
+		if restoreDue > 0 && now >= restoreDue {
+			return HeadRestore
+		}
+		if f.restoreDue = restoreDue; restoreDue == 0 {
+			f.restoreDue = now + time.Duration((0.5+chance/2)*float64(restoreSpread))
+		}
 	case at != f.held:
 		f.counts.Parted++
 		f.alarm = AlarmStoreParted
 	}
 	f.failures = 0
-	return false
+	return HeadKeep
 }
 
-// StoreAnswered takes in that contents were loaded, or that a watch saw no change.
+// StoreAnswered takes in that contents were loaded or restored, or that a watch
+// saw no change.
 func (f *Follower) StoreAnswered() { f.failures = 0 }
 
 // StoreFailed takes in a call without an answer. The next one waits for a time
--- a/lhstore/runner.go
+++ b/lhstore/runner.go
@@ -10,12 +10,15 @@
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 )
 
+// restoreID stands for the ID of a change where a VM restores the store.
+const restoreID = "restore"
+
 // restLimit is how long a Runner rests before it asks again whether it watches.
 const restLimit = time.Second
 
 // Watcher is what a Runner needs of the platform's service.
 type Watcher interface {
-	Getter
+	Store
 	Watch(ctx context.Context, key, etag string, wait time.Duration) (Value, error)
 }
 
@@ -184,13 +187,20 @@
 		return
 	}
 	r.mu.Lock()
-	wanted := r.follower.HeadRead(r.now(), now.Position, now.etag, rand.Float64())
+	action := r.follower.HeadRead(r.now(), now.Position, now.etag, rand.Float64())
 	held := r.snapshot
 	r.mu.Unlock()
-	if !wanted {
-		return
+	switch action {
+	case HeadLoad:
+		r.load(ctx, held, now.Position)
+	case HeadRestore:
+		r.restore(ctx, held)
 	}
-	next, err := load(ctx, r.store, held, now.Position)
+}
+
+// load puts the contents that the store holds at a position in force.
+func (r *Runner) load(ctx context.Context, held *Snapshot, at Position) {
+	next, err := load(ctx, r.store, held, at)
 	if err != nil {
 		r.failed()
 		return
@@ -200,6 +210,16 @@
 	_ = r.adopt(&next)
 }
 
+// restore brings the store up to what this VM holds.
+func (r *Runner) restore(ctx context.Context, held *Snapshot) {
+	_, err := Restore(ctx, r.store, restoreID, held)
+	if code := lhcode.Of(err); code != lhcode.OK && code != lhcode.PreconditionFailed {
+		r.failed()
+		return
+	}
+	r.answered()
+}
+
 // adopt puts a snapshot in force.
 func (r *Runner) adopt(next *Snapshot) error {
 	r.adopting.Lock()
