--- a/cmd/laburnumhollow/fetch.go
+++ b/cmd/laburnumhollow/fetch.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -50,7 +52,7 @@
 		return applyResult{}, err
 	}
 	files, err := lhconf.ReadFolder(dir)
-	if err != nil && lhcode.Of(err) != lhcode.NotFound {
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return applyResult{}, err
 	}
 	inForce := now.Files()
@@ -70,6 +72,9 @@
 	}, nil
 }
 
+// folderMode is the mode of a folder that a fetch makes.
+const folderMode = 0o755
+
 // fetchPlan is what a fetch changes in a folder.
 type fetchPlan struct {
 	changed []string
@@ -104,6 +109,9 @@
 
 // write carries the plan out in a folder.
 func (f fetchPlan) write(dir string, inForce map[string]string) error {
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return lhcode.Wrap(lhcode.FileUnreadable, err, "make the folder")
+	}
 	for _, name := range f.changed {
 		if err := writeFolderFile(dir, name, inForce[name]); err != nil {
 			return err
--- a/cmd/laburnumhollow/operators_test.go
+++ b/cmd/laburnumhollow/operators_test.go
@@ -17,7 +17,6 @@
 func (f *fleet) checkout(name string) string {
 	f.t.Helper()
 	dir := filepath.Join(f.dir, name)
-	assert.NilError(f.t, os.MkdirAll(dir, 0o755))
 	code, stdout, stderr := runCLI(f.t, "fetch", dir, "--platform", f.platform.URL())
 	assert.Equal(f.t, code, exitDone, "%s%s", stdout, stderr)
 	return dir
