lhdemo: run a whole fleet in one process, and demo it

Cause: `demo` was announced and not built in, so a newcomer could see nothing of the balancer without a fleet. Ruled out: starting entry processes (a process starts no process), and a simulated network (the VMs of lhentry with real sockets show the real path). Change: lhdemo.Fleet runs entry VMs and stand-ins as goroutines; RunDemo drains a backend server, stops a VM as planned and replaces it while feeds, idle and short flows are open. Codes 801 and 802 are for runs that got stuck or broke flows.

--- a/cmd/laburnumhollow/demo.go
+++ b/cmd/laburnumhollow/demo.go
@@ -1,17 +1,48 @@
 package main
 
 import (
-	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhdemo"
+	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 )
 
-func newDemoCommand(*printer) *cobra.Command {
-	return &cobra.Command{
+func newDemoCommand(p *printer) *cobra.Command {
+	var verbose bool
+	c := &cobra.Command{
 		Use:   "demo",
-		Short: "Run the whole path in one process and show a planned change",
-		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			return lhcode.New(lhcode.Internal, "demo is not built in")
+		Short: "Run a whole fleet in one process and change it while flows are open",
+		Long: `Run a whole fleet in one process and change it while flows are open.
+
+Three entry VMs in three data centres forward for two services, on loopback and
+with stand-ins for platform, fabric and backend servers. A backend server is
+drained and a VM is stopped as planned and replaced. Feeds, idle flows and short
+ones go on meanwhile. The demo ends within 20 seconds; the exit code is not 0 if a
+flow broke.`,
+		Example: "  laburnumhollow demo -o json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			result, err := lhdemo.RunDemo(cmd.Context(), p.vmLogs(verbose))
+			if failed := p.result(result, result.WriteText); failed != nil {
+				return failed
+			}
+			return err
 		},
 	}
+	addVerbose(c, &verbose)
+	return c
+}
+
+// addVerbose adds the flag that shows the logs of a fleet in this process.
+func addVerbose(c *cobra.Command, verbose *bool) {
+	c.Flags().BoolVarP(verbose, "verbose", "v", false, "write the logs of the VMs to standard error")
+}
+
+// vmLogs returns what gives the log of a VM in this process; nil drops all logs.
+func (p *printer) vmLogs(verbose bool) func(vm string) zerolog.Logger {
+	if !verbose {
+		return nil
+	}
+	return func(vm string) zerolog.Logger {
+		return newLogger(zerolog.SyncWriter(p.errors), zerolog.InfoLevel, vm)
+	}
 }
--- /dev/null
+++ b/cmd/laburnumhollow/demo_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhdemo"
+)
+
+// TestDemo runs the demo as a newcomer does. Every flow must end whole.
+func TestDemo(t *testing.T) {
+	code, stdout, stderr := runCLI(t, "demo", "-o", "json")
+	assert.Equal(t, code, exitDone, "%s%s", stdout, stderr)
+	assert.Equal(t, stderr, "")
+	var result lhdemo.DemoResult
+	assert.NilError(t, json.Unmarshal([]byte(stdout), &result))
+	assert.Equal(t, len(result.Steps), 8)
+	assert.Equal(t, len(result.Flows), 3)
+	for _, tally := range result.Flows {
+		assert.Assert(t, tally.Opened > 0)
+		assert.Equal(t, tally.Whole, tally.Opened, "%s", tally.Pattern)
+	}
+	assert.Assert(t, result.Crossed.Least >= 2)
+	assert.Equal(t, result.Late, 0)
+	assert.Equal(t, result.Repeated, 0)
+	assert.Assert(t, result.Traffic.Control > 0)
+}
--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -64,6 +64,11 @@
 	NotServing Code = 702
 	// SocketFailed is an address that a process could not open or serve.
 	SocketFailed Code = 703
+
+	// NotReached is a demo or load run whose fleet did not get to a state in time.
+	NotReached Code = 801
+	// FlowsBroken is a demo or load run in which flows broke.
+	FlowsBroken Code = 802
 )
 
 // Error is an error with a result code. The zero Error is not valid; use New or Wrap.
--- /dev/null
+++ b/lhdemo/held.go
@@ -0,0 +1,135 @@
+package lhdemo
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhstand"
+)
+
+// feedLines is more lines than a feed can push while it is watched.
+const feedLines = 1 << 20
+
+// flow is one flow that is held open over changes.
+type flow struct {
+	id   string
+	conn *lhstand.Conn
+	// reply says who has answered the flow's first request.
+	reply lhstand.Reply
+}
+
+// openFlow opens a flow from a caller's port of its own.
+func openFlow(ctx context.Context, f *Fleet, service int, id string) (*flow, error) {
+	conn, err := f.fabric.Dial(ctx, f.fabric.NextCaller(), serviceAt(service))
+	if err != nil {
+		return nil, err
+	}
+	return &flow{id: id, conn: conn}, nil
+}
+
+// ask sends a request and checks that the answer is whole, comes from the right
+// service and, after the first request, from the same server as before.
+func (w *flow) ask(number int) error {
+	request := lhstand.Request{ID: fmt.Sprintf("%s-%d", w.id, number), Bytes: heldBytes}
+	reply, err := request.Do(w.conn)
+	if err != nil {
+		return err
+	}
+	if number > 0 && reply != w.reply {
+		return lhstand.Wrong
+	}
+	w.reply = reply
+	return nil
+}
+
+// heldBytes is the size of an answer on a held flow.
+const heldBytes = 2000
+
+// idleFlow carries a request, stays idle and carries one more.
+type idleFlow struct{ *flow }
+
+func openIdle(ctx context.Context, f *Fleet, service int, id string) (idleFlow, error) {
+	w, err := openFlow(ctx, f, service, id)
+	if err != nil {
+		return idleFlow{}, err
+	}
+	return idleFlow{w}, w.ask(0)
+}
+
+// finish carries the last request and closes the flow.
+func (w idleFlow) finish() error {
+	if err := w.ask(1); err != nil {
+		return err
+	}
+	if err := w.conn.Close(); err != nil {
+		return err
+	}
+	if o := w.conn.Wait(); o != lhstand.Whole {
+		return o
+	}
+	return nil
+}
+
+// feedFlow has its backend server push lines until it is finished.
+type feedFlow struct {
+	*flow
+	// lines counts the lines that came whole and in order.
+	lines atomic.Int64
+	// finishing is set before the caller itself gives the feed up.
+	finishing atomic.Bool
+	ended     chan error
+}
+
+func openFeed(ctx context.Context, f *Fleet, service int, id string, gap time.Duration) (*feedFlow, error) {
+	w, err := openFlow(ctx, f, service, id)
+	if err != nil {
+		return nil, err
+	}
+	request := lhstand.Request{ID: id, Lines: feedLines, Gap: gap}
+	if err := request.Send(w.conn); err != nil {
+		return nil, err
+	}
+	from := bufio.NewReader(w.conn)
+	if w.reply, err = request.ReceiveHead(from); err != nil {
+		return nil, err
+	}
+	feed := &feedFlow{flow: w, ended: make(chan error, 1)}
+	go func() { feed.ended <- feed.read(request, from) }()
+	return feed, nil
+}
+
+// read reads lines until one is missing or wrong, or the feed is given up.
+func (w *feedFlow) read(request lhstand.Request, from *bufio.Reader) error {
+	for n := range request.Lines {
+		err := request.ReceiveLine(from, n)
+		if w.finishing.Load() && errors.Is(err, lhstand.Canceled) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		w.lines.Add(1)
+	}
+	return nil
+}
+
+// finish waits for more lines, gives the feed up and returns what broke it, or nil.
+func (w *feedFlow) finish(ctx context.Context) error {
+	more := w.lines.Load() + feedProof
+	_ = await(ctx, "lines of "+w.id, func() bool { return w.lines.Load() >= more || len(w.ended) > 0 })
+	if w.lines.Load() < more && len(w.ended) == 0 {
+		w.conn.Abort()
+		<-w.ended
+		return lhstand.TimedOut
+	}
+	w.finishing.Store(true)
+	w.conn.Abort()
+	return <-w.ended
+}
+
+// feedProof is how many more lines show that a feed still runs.
+const feedProof = 3
--- /dev/null
+++ b/lhdemo/vm.go
@@ -0,0 +1,142 @@
+package lhdemo
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhentry"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+)
+
+// Settings of the VMs. Heartbeats are quicker than the defaults, so that a change
+// can be watched.
+const (
+	vmWorkers   = 2
+	vmFlows     = 100_000
+	vmHeartbeat = 200 * time.Millisecond
+	// vmSuspect leaves room for a machine that is busy with other things.
+	vmSuspect = 2 * time.Second
+	vmStop    = 10 * time.Second
+)
+
+// vmSeed is the seed of the group; it guards nothing on loopback.
+var vmSeed = lhflow.Seed{K0: 0x6c61627572, K1: 0x6e756d}
+
+// VM is one entry VM of a fleet.
+type VM struct {
+	name       string
+	dataCentre string
+	entry      *lhentry.Entry
+	// stopping ends when the VM is told to stop as planned.
+	stopping context.Context
+	stop     context.CancelFunc
+	// end ends the VM at once.
+	end context.CancelFunc
+	// ended is closed when the VM has ended; err is then its first error, or nil.
+	ended chan struct{}
+	err   error
+}
+
+// newVM starts the next VM of the fleet.
+func (f *Fleet) newVM(ctx context.Context) (*VM, error) {
+	n := len(f.VMs())
+	vm := &VM{name: vmName(n), dataCentre: f.layout.dataCentre(n), ended: make(chan struct{})}
+	log := zerolog.Nop()
+	if f.Log != nil {
+		log = f.Log(vm.name)
+	}
+	entry, err := lhentry.New(f.settings(vm, n), log)
+	if err != nil {
+		return nil, err
+	}
+	vm.entry = entry
+	vm.stopping, vm.stop = context.WithCancel(f.ctx)
+	life, end := context.WithCancel(f.ctx)
+	vm.end = end
+	done := entry.Run(vm.stopping, life)
+	go func() {
+		vm.err = <-done
+		close(vm.ended)
+	}()
+	return vm, await(ctx, vm.name+" to listen", vm.listens)
+}
+
+// settings returns the settings of the VM with a number from 0. Its contacts are
+// the VMs that serve.
+func (f *Fleet) settings(vm *VM, n int) lhconf.Settings {
+	address := netip.MustParseAddrPort(fmt.Sprintf(vmAddress, n+1))
+	s := lhconf.DefaultSettings()
+	s.Name, s.DataCentre, s.Group, s.Seed = vm.name, vm.dataCentre, "demo", vmSeed
+	s.Data, s.Control, s.Ops = address, address, address
+	s.Fabric = []netip.Addr{f.fabric.Address().Addr()}
+	s.FabricTo = f.fabric.Address()
+	s.Platform = f.platform.URL()
+	s.Workers, s.Flows = vmWorkers, vmFlows
+	s.Heartbeat, s.Suspect, s.Stop = vmHeartbeat, vmSuspect, vmStop
+	for _, other := range f.active() {
+		s.Peers = append(s.Peers, other.entry.Control())
+	}
+	return s
+}
+
+// Name returns the VM's name.
+func (v *VM) Name() string { return v.name }
+
+// Dump returns the state of the VM, which stays what it was after its end.
+func (v *VM) Dump() lhops.Dump { return v.entry.Dump() }
+
+// Data returns where the VM receives packets.
+func (v *VM) Data() netip.AddrPort { return v.entry.Data() }
+
+func (v *VM) listens() bool {
+	select {
+	case <-v.ended:
+		return true
+	default:
+		return v.entry.Control().IsValid()
+	}
+}
+
+func (v *VM) leaving() bool { return v.entry.Health().State == lhops.Leaving }
+
+func (v *VM) stopped() bool { return v.stopping.Err() != nil }
+
+// serves reports whether the VM serves at a revision or a later one, and sees as
+// many members as there are, all of them active.
+func (v *VM) serves(members, revision int) bool {
+	d := v.Dump()
+	if !d.Health.Ready() || d.Revision < uint64(revision) || len(d.Members) != members {
+		return false
+	}
+	for _, m := range d.Members {
+		if m.State != lhflow.Active {
+			return false
+		}
+	}
+	return true
+}
+
+// wait waits for the VM's end and returns its first error.
+func (v *VM) wait(ctx context.Context) error {
+	select {
+	case <-v.ended:
+		return v.err
+	case <-ctx.Done():
+		return lhcode.Wrap(lhcode.NotReached, ctx.Err(), "wait for "+v.name+" to end")
+	}
+}
+
+// kill ends the VM at once and returns its first error.
+func (v *VM) kill() error {
+	v.end()
+	<-v.ended
+	v.stop()
+	return v.err
+}
--- a/lhstand/fabric.go
+++ b/lhstand/fabric.go
@@ -137,6 +137,9 @@
 	}
 }
 
+// NextCaller returns a caller that no load and no other call of it has had.
+func (f *Fabric) NextCaller() netip.AddrPort { return callerIn(DefaultCallers, f.reserve(1)) }
+
 // reserve returns the number of the first of so many flows that no load has had.
 func (f *Fabric) reserve(flows int) int {
 	return int(f.reserved.Add(int64(flows))) - flows
--- a/lhstand/load.go
+++ b/lhstand/load.go
@@ -64,7 +64,7 @@
 	}
 	total := newLoadResult()
 	for range l.Parallel {
-		total.add(<-ended)
+		total.Add(<-ended)
 	}
 	total.Elapsed = time.Since(run.start)
 	return total
@@ -220,10 +220,13 @@
 	return fmt.Sprintf("%s-%d-%d", r.Request.ID, flow, number)
 }
 
-// caller returns the caller of a flow: ports of one address before the next.
-func (r *loadRun) caller(flow int) netip.AddrPort {
-	flow += r.first
-	address := r.Callers.Addr().As16()
+// caller returns the caller of a flow.
+func (r *loadRun) caller(flow int) netip.AddrPort { return callerIn(r.Callers, r.first+flow) }
+
+// callerIn returns the caller with a number: ports of one address of the prefix
+// before the next.
+func callerIn(callers netip.Prefix, flow int) netip.AddrPort {
+	address := callers.Addr().As16()
 	low := binary.BigEndian.Uint32(address[12:])
 	binary.BigEndian.PutUint32(address[12:], low+uint32(flow/portCount)+1)
 	port := uint16(firstPort + flow%portCount)
--- a/lhstand/result.go
+++ b/lhstand/result.go
@@ -109,7 +109,12 @@
 	_ = h.RecordValue(max(minRecorded, min(took.Microseconds(), maxRecorded)))
 }
 
-func (r *LoadResult) add(other *LoadResult) {
+// Add adds the flows of another result; the zero LoadResult holds none.
+func (r *LoadResult) Add(other *LoadResult) {
+	if r.Opening == nil {
+		*r = *newLoadResult()
+	}
+	r.Elapsed += other.Elapsed
 	for o, n := range other.Outcomes {
 		r.Outcomes[o] += n
 	}
