--- a/lhstore/follower.go
+++ b/lhstore/follower.go
@@ -83,7 +83,7 @@
 type FollowerCounts struct {
 	// Adopted are the revisions put in force.
 	Adopted uint64 `json:"adopted"`
-	// Lower are the heads and contents that were older than what was in force.
+	// Lower are the heads that were older than what was in force.
 	Lower uint64 `json:"lower"`
 	// Parted are the positions that are not of the chain in force.
 	Parted uint64 `json:"parted"`
@@ -200,7 +200,6 @@
 // lhcode.RevisionLower for anything but a higher revision.
 func (f *Follower) Wants(at Position) error {
 	if !at.Newer(f.held) {
-		f.counts.Lower++
 		return lhcode.Newf(lhcode.RevisionLower, "revision %v is not above %v", at, f.held)
 	}
 	return nil
--- a/lhstore/follower_test.go
+++ b/lhstore/follower_test.go
@@ -34,6 +34,7 @@
 			assert.Assert(t, f.Adopt(c.head, Position{}) != nil, c.name)
 		}
 		assert.Equal(t, f.Held(), at(5, 5), c.name)
+		assert.Equal(t, f.Counts().Lower > 0, c.alarm == AlarmStoreLower, c.name)
 	}
 }
 
