--- a/lhstand/platform_fault.go
+++ b/lhstand/platform_fault.go
@@ -101,7 +101,7 @@
 	if r.Method != http.MethodGet {
 		ctx = context.WithoutCancel(ctx)
 	}
-	wait(ctx, delay)
+	sleep(ctx, delay)
 	p.mu.Lock()
 	down := p.faults.down
 	p.mu.Unlock()
@@ -139,16 +139,3 @@
 	p.epoch++
 	p.wake()
 }
-
-// wait returns after d, or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
