--- a/lhstore/apply.go
+++ b/lhstore/apply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
@@ -76,14 +75,16 @@
 		}
 	}
 	var held Snapshot
+	var moved error
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
 		result, again, err := a.attempt(ctx, &held, change)
 		result.Attempts = attempt
 		if !again {
 			return result, err
 		}
+		moved = err
 	}
-	return Result{}, lhcode.New(lhcode.StoreUnavailable, "not done: other changes were faster each time")
+	return Result{Attempts: maxAttempts}, lhcode.Wrap(lhcode.StoreUnavailable, moved, "not done: the head moved each time")
 }
 
 // attempt tries a change once on the present head. It reports again when the
@@ -166,7 +167,7 @@
 			merged[f.Name] = f.Text
 		}
 	}
-	config, err := a.check(maps.Clone(merged))
+	config, err := a.check(merged)
 	if err != nil {
 		return Snapshot{}, err
 	}
