--- a/lhwork/bench_test.go
+++ b/lhwork/bench_test.go
@@ -96,7 +96,7 @@
 				for g := range goroutines {
 					all.Go(func() {
 						for n := uint64(g) << 40; left.Add(-1) >= 0; n++ {
-							flow(c, time.Duration(n&(1<<40-1))*10*time.Microsecond, id(n), keys[n%uint64(services)])
+							flow(c, time.Duration(n&(1<<40-1))*10*time.Microsecond, id(n), keys[id(n).Hi>>40%uint64(services)])
 						}
 					})
 				}
--- a/lhwork/choose_test.go
+++ b/lhwork/choose_test.go
@@ -248,7 +248,7 @@
 	for range 10 {
 		c.Closed(5*time.Second, lhwork.Flow{Server: 1, Phase: lhwork.PhaseServed})
 	}
-	assert.Equal(t, c.Snapshot(6*time.Second).Services[0].Held, 10, "a removed server's flows are counted to their end")
+	assert.Equal(t, c.Snapshot(6 * time.Second).Services[0].Held, 10, "a removed server's flows are counted to their end")
 }
 
 // TestConcurrent takes flows through their lives in several threads while the
