--- a/lhwork/admit.go
+++ b/lhwork/admit.go
@@ -12,6 +12,9 @@
 	halfOpenMin = 256
 	// shareSlack is how far the units in work may go above their limit by shares.
 	shareSlack = 1.5
+	// idlePart is the part of the limit below which the wants leave a service idle:
+	// a burst of any kind may then take the whole allowance.
+	idlePart = 0.5
 	// allowanceStart and allowanceEnd are the wants over a limit between which the
 	// allowance for chance falls from whole to none.
 	allowanceStart = 1
@@ -73,7 +76,8 @@
 	if allows(current, k.want, k.share()*whole) {
 		return true
 	}
-	return current < k.grant && allows(all, p.want, p.workLimit)
+	idle := p.want < idlePart*p.workLimit
+	return (idle || current < k.grant) && allows(all, p.want, p.workLimit)
 }
 
 // allows reports whether a count may grow by one under a limit. Where no more is
