--- a/lhwork/flood_test.go
+++ b/lhwork/flood_test.go
@@ -37,6 +37,7 @@
 		{name: "least x10, inverted reports", factor: 10, flooded: 2, report: inverted},
 		{name: "least x10, 3 servers shed", factor: 10, flooded: 2, shedding: 3},
 		{name: "least x10, 16 slots declared as 2", factor: 10, flooded: 2, slots: 16},
+		{name: "most x10, a VM dies", factor: 10, flooded: 0, dying: 1},
 		{name: "most x50, 3 servers shed, inverted", factor: 50, flooded: 0, shedding: 3, report: inverted},
 	}
 }
--- a/lhwork/model_test.go
+++ b/lhwork/model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
@@ -41,6 +42,7 @@
 	Closed(now time.Duration, f lhwork.Flow)
 	ServerReset(now time.Duration, f lhwork.Flow)
 	Report(now time.Duration, server uint32, load float64)
+	SetView(now time.Duration, view *lhflow.View, lost []lhflow.MemberID)
 }
 
 // naive admits first come, up to a fixed number of flows, and hashes over servers.
@@ -61,15 +63,16 @@
 	return uint32((id.Lo+uint64(len(tried)))%modelServers) + 1, true
 }
 
-func (n *naive) Retry(lhflow.Key) bool                              { return n.first.Take() }
-func (n *naive) Opened(time.Duration, lhwork.Flow)                  { n.held++ }
-func (n *naive) Answered(time.Duration, lhwork.Flow, time.Duration) {}
-func (n *naive) Established(time.Duration, lhwork.Flow)             {}
-func (n *naive) Served(time.Duration, lhwork.Flow, time.Duration)   {}
-func (n *naive) Closed(time.Duration, lhwork.Flow)                  { n.held-- }
-func (n *naive) ServerReset(time.Duration, lhwork.Flow)             { n.held-- }
-func (n *naive) Report(_ time.Duration, _ uint32, _ float64)        {}
-func newNaive(*lhplace.Table, *lhflow.View) policy                  { return &naive{} }
+func (n *naive) Retry(lhflow.Key) bool                                  { return n.first.Take() }
+func (n *naive) Opened(time.Duration, lhwork.Flow)                      { n.held++ }
+func (n *naive) Answered(time.Duration, lhwork.Flow, time.Duration)     {}
+func (n *naive) Established(time.Duration, lhwork.Flow)                 {}
+func (n *naive) Served(time.Duration, lhwork.Flow, time.Duration)       {}
+func (n *naive) Closed(time.Duration, lhwork.Flow)                      { n.held-- }
+func (n *naive) ServerReset(time.Duration, lhwork.Flow)                 { n.held-- }
+func (n *naive) Report(_ time.Duration, _ uint32, _ float64)            {}
+func (n *naive) SetView(time.Duration, *lhflow.View, []lhflow.MemberID) {}
+func newNaive(*lhplace.Table, *lhflow.View) policy                      { return &naive{} }
 
 func newController(table *lhplace.Table, view *lhflow.View) policy {
 	c := &lhwork.Controller{}
@@ -89,6 +92,8 @@
 	slots int
 	// shedding is how many servers reset half of the flows.
 	shedding int
+	// dying is how many VMs die one second into the flood.
+	dying int
 }
 
 // Times of a run.
@@ -205,6 +210,9 @@
 		m.now = 0
 	}
 	m.reportLoads()
+	if m.dying > 0 {
+		m.after(floodStart+time.Second, m.die)
+	}
 	for len(m.events) > 0 && m.events[0].at < runEnd+patience {
 		e := heap.Pop(&m.events).(event)
 		m.now = e.at
@@ -212,6 +220,16 @@
 	}
 }
 
+// die takes VMs out of all views. Their flows go on; new ones go to the others.
+func (m *model) die() {
+	m.views = m.views[:modelVMs-m.dying]
+	for i, v := range m.views {
+		members := slices.DeleteFunc(slices.Clone(v.Members), func(o lhflow.Member) bool { return int(o.ID) > len(m.views) })
+		m.views[i] = lhflow.NewView(v.Version+1, v.Self, members)
+		m.vms[v.Self].SetView(m.now, m.views[i], nil)
+	}
+}
+
 // stream is a sequence of arrivals of one kind.
 type stream struct {
 	kind   int
@@ -242,7 +260,7 @@
 	u := &unit{key: key, id: lhflow.ID{Hi: s.random.Uint64(), Lo: s.random.Uint64()}, kind: s.kind}
 	u.tally = &m.tallies[s.kind][m.now/bucketSize]
 	u.tally.offered++
-	u.vm = m.vms[m.views[s.random.IntN(modelVMs)].Owners(u.id).First]
+	u.vm = m.vms[m.views[s.random.IntN(modelVMs)%len(m.views)].Owners(u.id).First]
 	d := u.vm.Admit(m.now, lhwork.Unit{Key: key})
 	if !d.Admitted {
 		u.tally.refused++
