lhwork: tell failed handshakes from those under way

Cause: the part of handshakes that are completed was taken over all that had been opened, so a burst at an idle service counted as one unit in work however large it was: 1,000 of 1,000 flows opened at once. A handshake counts as failed now once it has taken 100 ms or was closed before its end.

--- a/lhwork/admit.go
+++ b/lhwork/admit.go
@@ -23,7 +23,7 @@
 
 // admit decides on a unit of kind k.
 func (p *pool) admit(now time.Duration, k *kind) Reason {
-	k.offered.add(now, demandLifetime)
+	k.offered.add(now, demandLifetime, 1)
 	switch {
 	case !p.hasHalfOpen(now, k):
 		return ReasonHalfOpen
--- a/lhwork/admit_test.go
+++ b/lhwork/admit_test.go
@@ -107,6 +107,23 @@
 	assert.Assert(t, held >= room/2)
 }
 
+// TestIdleBurst opens flows at once at a service that has seen none before.
+func TestIdleBurst(t *testing.T) {
+	c := &lhwork.Controller{}
+	c.SetTable(0, lhplace.NewTable(kindsConfig()))
+	opened := 0
+	for i := range 1000 {
+		now := time.Second + time.Duration(i)*time.Microsecond
+		if d := c.Admit(now, lhwork.Unit{Key: kindKey(0)}); d.Admitted {
+			c.Opened(now, lhwork.Flow{Server: 1, Kind: d.Kind})
+			opened++
+		}
+	}
+	limit := c.Snapshot(time.Second).Services[0].WorkLimit
+	t.Logf("%d of 1,000 flows are opened at once, limit %.0f", opened, limit)
+	assert.Assert(t, float64(opened) >= limit && float64(opened) <= limit+2*math.Sqrt(limit)+2)
+}
+
 // TestHalfOpen opens flows that are never completed, from one prefix and from
 // many, beside callers of each kind that complete theirs.
 func TestHalfOpen(t *testing.T) {
--- a/lhwork/event.go
+++ b/lhwork/event.go
@@ -15,7 +15,6 @@
 		p.load.opened(now)
 		s.load.opened(now)
 		k.load.opened(now)
-		p.opened.add(now, completionLifetime)
 		p.halfOpen.add(now, HandshakeLongest)
 		k.halfOpen.add(now, HandshakeLongest)
 		c.syns.add(now, f.Caller)
@@ -53,7 +52,7 @@
 		p.load.established(now)
 		s.load.established(now)
 		k.load.established(now)
-		p.completed.add(now, completionLifetime)
+		p.completed.add(now, completionLifetime, 1)
 		c.handshakeOver(now, f, p, k)
 	})
 }
@@ -75,7 +74,12 @@
 
 // Closed reports the end of a flow, whoever ended it.
 func (c *Controller) Closed(now time.Duration, f Flow) {
-	c.update(f, func(p *pool, s *server, k *kind) { c.closed(now, f, p, s, k) })
+	c.update(f, func(p *pool, s *server, k *kind) {
+		c.closed(now, f, p, s, k)
+		if f.Phase == PhaseOpening {
+			p.failed.add(now, completionLifetime, 1)
+		}
+	})
 }
 
 // ServerReset reports that the server has reset a flow, which is closed with it.
--- a/lhwork/gauge.go
+++ b/lhwork/gauge.go
@@ -22,9 +22,9 @@
 	return g.value
 }
 
-// add counts one more event.
-func (g *gauge) add(now, lifetime time.Duration) {
-	g.value = g.read(now, lifetime) + 1
+// add counts more events.
+func (g *gauge) add(now, lifetime time.Duration, events float64) {
+	g.value = g.read(now, lifetime) + events
 }
 
 // rate returns the events a second of a gauge that counts them.
--- a/lhwork/load.go
+++ b/lhwork/load.go
@@ -4,7 +4,7 @@
 
 const (
 	// openingLifetime is how long a half-open flow counts as work to come.
-	openingLifetime = 200 * time.Millisecond
+	openingLifetime = 100 * time.Millisecond
 	// waitingLifetime is how long a flow counts as in work without any answer.
 	waitingLifetime = 2 * time.Second
 	// shareLifetime is the time over which the use of a kind is held against its
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -7,8 +7,12 @@
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
 )
 
-// completionLifetime is the time over which completed handshakes are counted.
-const completionLifetime = time.Second
+const (
+	// completionLifetime is the time over which handshakes are counted.
+	completionLifetime = time.Second
+	// completionPrior is how many handshakes are taken as completed besides.
+	completionPrior = 10
+)
 
 // pool is the capacity of one service, as far as it is this VM's, with the kinds
 // of work that share it. The lock guards all that follows it.
@@ -25,8 +29,10 @@
 	load    load
 	limiter limiter
 	budget  Budget
-	// opened and completed count handshakes that began and that were completed.
-	opened, completed gauge
+	// completed and failed count handshakes that were completed in time or not.
+	completed, failed gauge
+	// forgotten is how many of load.opening's failures failed has counted.
+	forgotten uint64
 	// halfOpen is the number of handshakes under way.
 	halfOpen window
 
@@ -58,8 +64,14 @@
 	return p.kinds[len(p.kinds)-1]
 }
 
-// completion returns the part of handshakes that are completed.
+// completion returns the part of handshakes that is expected to be completed.
 func (p *pool) completion(now time.Duration) float64 {
-	done := p.completed.read(now, completionLifetime) + 1
-	return min(done/(p.opened.read(now, completionLifetime)+1), 1)
+	opening := &p.load.opening
+	opening.advance(now, openingLifetime)
+	if n := opening.forgotten - p.forgotten; n > 0 {
+		p.forgotten = opening.forgotten
+		p.failed.add(now, completionLifetime, float64(n))
+	}
+	done := p.completed.read(now, completionLifetime) + completionPrior
+	return done / (done + p.failed.read(now, completionLifetime))
 }
