--- a/lhwork/controller.go
+++ b/lhwork/controller.go
@@ -18,7 +18,7 @@
 	// cut holds the data centres that can't be reached; it is never changed.
 	cut    map[string]bool
 	part   sharedPart
-	ledger Ledger
+	ledger ledger
 	syns   prefixes
 	// state is never changed after it has been stored.
 	state atomic.Pointer[state]
--- a/lhwork/doc.go
+++ b/lhwork/doc.go
@@ -18,14 +18,18 @@
 // it, whatever the server reports. A VM keeps its part of a small number of units
 // in work per slot: enough to keep the slots busy, few enough that a unit waits
 // for a short time only. The limit follows the answer times: it falls when they
-// grow beyond what the limit explains, and rises when units are refused although
+// grow far beyond what the limit explains, and rises when units are refused although
 // answers come quickly. Each reset, and each SYN without an answer, halves what
-// its server gets; the server's part doubles again in half a second. Since the
-// limit counts units and no rates, it needs no time to recover after a flood.
+// its server gets; the server's part doubles again in a third of a second. Since
+// the limit counts units and no rates, it needs no time to recover after a flood.
+//
+// Units that are half-open count as far as handshakes are completed of late. They
+// have a limit of their own, within which each kind has its share and each prefix
+// of callers a part, and they last a shorter time as the limit fills.
 //
 // # Kinds
 //
-// A kind within its share is always admitted. What is left of the capacity is
+// A kind within its share is admitted. What is left of the capacity is
 // lent, and returned as fast as units finish: first to the more urgent kinds, and
 // among equals in proportion to their shares. Flows that are held may last for
 // hours, so room for flows is lent only beyond what the other kinds' shares
@@ -39,10 +43,10 @@
 //
 // # Identities
 //
-// A unit may carry an identity. The Ledger keeps the outcome of each identity for
-// the time in which callers may retry, and answers "not known" where another VM
-// may have run it.
+// A unit may carry an identity. Its owner keeps the outcome of each identity for
+// the time in which callers may retry; a VM answers "not known" where another one
+// may have run the unit.
 //
 // The package opens no socket, starts no goroutine and reads no clock. Each
-// service has its own lock, and so has each shard of the Ledger.
+// service has its own lock, and so has each shard of the identities.
 package lhwork
--- a/lhwork/ledger.go
+++ b/lhwork/ledger.go
@@ -19,8 +19,8 @@
 	shardRefused    = shardIdentities / 2
 )
 
-// Ledger keeps the outcome of each identity for the RetryHorizon, so that a unit
-// runs once at most. The zero Ledger is that of a VM on its own.
+// ledger keeps the outcome of each identity for the RetryHorizon, so that a unit
+// runs once at most. The zero ledger is that of a VM on its own.
 //
 // Every identity has one owner among the members, lost ones included; the others
 // answer "not known". So does an owner for an identity that another VM may have
@@ -30,7 +30,7 @@
 // none; should the platform say that the member is gone for good, the next owner
 // takes over in the same way. This holds as long as each side of a cut keeps a
 // member from before it, of which those that join there learn who is lost.
-type Ledger struct {
+type ledger struct {
 	// mu guards owners, which is replaced and never changed.
 	mu     sync.RWMutex
 	owners *ownership
@@ -59,7 +59,7 @@
 func (c *Controller) Finish(i Identity) { c.ledger.finish(i) }
 
 // once decides on an identity: the first time by decide, later by its outcome.
-func (l *Ledger) once(now time.Duration, u Unit, decide func() Decision) Decision {
+func (l *ledger) once(now time.Duration, u Unit, decide func() Decision) Decision {
 	s := &l.shards[IdentityID(u.Identity).Lo%ledgerShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +80,7 @@
 	return d
 }
 
-func (l *Ledger) finish(i Identity) {
+func (l *ledger) finish(i Identity) {
 	s := &l.shards[IdentityID(i).Lo%ledgerShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +91,7 @@
 
 // vouches reports whether no other VM can have run the unit and no outcome of it
 // can have expired here.
-func (l *Ledger) vouches(now time.Duration, u Unit) bool {
+func (l *ledger) vouches(now time.Duration, u Unit) bool {
 	if u.Minted != 0 && now-u.Minted >= RetryHorizon {
 		return false
 	}
@@ -102,7 +102,7 @@
 }
 
 // setMembers puts a new set of owners into force.
-func (l *Ledger) setMembers(now time.Duration, view *lhflow.View, lost []lhflow.MemberID) {
+func (l *ledger) setMembers(now time.Duration, view *lhflow.View, lost []lhflow.MemberID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.owners = newOwnership(now, view, lost, l.owners)
