--- a/lhpeer/cost_test.go
+++ b/lhpeer/cost_test.go
@@ -43,6 +43,41 @@
 	}
 }
 
+// BenchmarkMerge measures the bytes that both ends write in one period where
+// membership, revision and progress of hand-over share an exchange, and where
+// each has one of its own.
+func BenchmarkMerge(b *testing.B) {
+	caller, callee := startNode(b, Settings{Timing: slow}), startNode(b, Settings{Timing: slow})
+	ends := Message{From: 1, To: callee.self()}
+	membership, revision, progress := ends, ends, ends
+	membership.Digest = 1 << 60
+	membership.Entries = []Entry{caller.own()}
+	revision.Revision = Revision{Number: 11_000, Digest: 1 << 60}
+	progress.HandedOver = true
+	merged := membership
+	merged.Revision = revision.Revision
+	merged.HandedOver = true
+	for _, c := range []struct {
+		name     string
+		messages []Message
+	}{
+		{"merged", []Message{merged}},
+		{"separate", []Message{membership, revision, progress}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			before := written([]running{caller, callee})
+			for b.Loop() {
+				for _, m := range c.messages {
+					r := Request{Control: callee.settings.Self.Control, Message: m}
+					_, err := caller.send(context.Background(), r, time.Second)
+					assert.NilError(b, err)
+				}
+			}
+			b.ReportMetric(float64(written([]running{caller, callee})-before)/float64(b.N), "B/period")
+		})
+	}
+}
+
 // BenchmarkNodes measures the bytes and the processor time of real nodes without
 // changes over 10 seconds.
 func BenchmarkNodes(b *testing.B) {
--- a/lhpeer/wire.go
+++ b/lhpeer/wire.go
@@ -67,7 +67,7 @@
 	data, dataOK := decodeAddress(w.GetData())
 	control, controlOK := decodeAddress(w.GetControl())
 	known := w.GetState() <= uint32(lhflow.Gone) && w.GetHealth() <= uint32(Dead)
-	if !dataOK || !controlOK || !known || w.GetId() == 0 {
+	if !dataOK || !controlOK || !control.IsValid() || !known || w.GetId() == 0 {
 		return Entry{}, false
 	}
 	return Entry{
