lhpeer: keep the others in view while a lost member joins anew

Cause: a VM that came back from a pause began again with an empty view, so for some exchanges it could name no owner of any flow, and its view's version went back to 1. It now keeps the entries of the others. A member that leaves before it has joined is gone at once; it would have counted as an owner without hand-over.

--- a/lhpeer/fleet_test.go
+++ b/lhpeer/fleet_test.go
@@ -151,7 +151,8 @@
 		f.send(v, requests)
 		if v.Lost() {
 			v.renewed = true
-			f.start(v, len(f.vms))
+			v.Membership = v.Rejoin(f.now, v.Self().ID+1)
+			v.ready = 0
 		}
 		f.handOver(v)
 		if v.ready == 0 && v.Self().State == lhflow.Active {
--- a/lhpeer/membership.go
+++ b/lhpeer/membership.go
@@ -56,6 +56,8 @@
 	// dirty is set when view may no longer match self and peers.
 	dirty bool
 	view  *lhflow.View
+	// version is that of view.
+	version uint64
 }
 
 // contact is an address at which a member may answer.
@@ -84,6 +86,32 @@
 	return m
 }
 
+// Rejoin returns the membership of a member that was lost and begins to join
+// again under a new ID. It keeps what it knows of the others, so that its view
+// still names the owners of flows. A member that was leaving does not come back.
+func (m *Membership) Rejoin(now time.Duration, id lhflow.MemberID) *Membership {
+	self := m.self.Member
+	self.ID = id
+	var contacts []netip.AddrPort
+	for _, c := range m.contacts {
+		contacts = append(contacts, c.control)
+	}
+	next := Join(now, self, contacts, m.timing, m.rng)
+	next.version = m.version
+	for _, p := range m.peers {
+		next.merge(now, p.Entry)
+		if p.final() || p.unreachable {
+			continue
+		}
+		next.Listed([]netip.AddrPort{p.Control})
+	}
+	if m.self.State >= lhflow.Leaving {
+		next.Leave()
+	}
+	next.refresh()
+	return next
+}
+
 // Listed adds contacts, such as those in the platform's list of VMs. The list
 // lags: a member that it lacks stays, and one that it still holds is no member
 // for that.
@@ -186,9 +214,13 @@
 	}
 }
 
-// Leave begins a planned stop. The member owns its flows until Left.
+// Leave begins a planned stop. The member owns its flows until Left; one that
+// still joins owns none and is gone at once.
 func (m *Membership) Leave() {
-	if m.self.State < lhflow.Leaving {
+	switch m.self.State {
+	case lhflow.Joining:
+		m.move(lhflow.Gone)
+	case lhflow.Active:
 		m.move(lhflow.Leaving)
 	}
 }
@@ -294,14 +326,11 @@
 			members = append(members, p.Member)
 		}
 	}
-	var version uint64
-	if m.view != nil {
-		version = m.view.Version
-	}
-	next := lhflow.NewView(version+1, m.self.ID, members)
+	next := lhflow.NewView(m.version+1, m.self.ID, members)
 	if m.view != nil && sameMembers(m.view.Members, next.Members) {
 		return
 	}
+	m.version++
 	m.view = next
 	m.counts.Views++
 }
--- a/lhpeer/membership_test.go
+++ b/lhpeer/membership_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+func TestRejoinKeepsTheOthersInView(t *testing.T) {
+	cases := []struct {
+		name  string
+		leave bool
+		want  int
+	}{
+		{"active", false, 7},
+		{"leaving", true, 6},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.group(7, hokkaido...)
+			m := f.vms[2].Membership
+			if c.leave {
+				m.Leave()
+			}
+			next := m.Rejoin(f.now, m.Self().ID+1)
+			assert.Equal(t, len(next.View().Members), c.want)
+			assert.Equal(t, next.View().Version, m.View().Version+1)
+			_, ok := next.View().Member(m.Self().ID)
+			assert.Assert(t, !ok)
+		})
+	}
+}
+
 func TestCutDataCentreKeepsItsIdentity(t *testing.T) {
 	cases := []struct {
 		name string
@@ -181,10 +207,11 @@
 func TestAnyHistoryConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(t, rapid.Uint64().Draw(t, "seed"))
-		f.watch = f.watchInvariants(t)
+		// stopped holds the VMs whose process did not run throughout.
+		stopped := make(map[*vm]bool)
+		f.watch = f.watchInvariants(t, stopped)
 		f.group(rapid.IntRange(2, 6).Draw(t, "size"), hokkaido...)
 		inside := func(v *vm) bool { return v.dataCentre == "ebetsu" }
-		stopped := make(map[*vm]bool)
 		f.loss = rapid.SampledFrom([]float64{0, 0.01, 0.05}).Draw(t, "loss")
 		for range rapid.IntRange(1, 8).Draw(t, "changes") {
 			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
@@ -224,18 +251,24 @@
 
 // watchInvariants checks after each tick of a VM that its states only move
 // forwards and that it becomes active only after hand-over.
-func (f *fleet) watchInvariants(t *rapid.T) func(*vm) {
+func (f *fleet) watchInvariants(t *rapid.T, stopped map[*vm]bool) func(*vm) {
 	type seen struct {
 		by, of lhflow.MemberID
 	}
 	states := make(map[seen]lhflow.MemberState)
+	views := make(map[*vm]uint64)
 	return func(v *vm) {
 		id := v.Self().ID
+		assert.Assert(t, stopped[v] || v.View().Version >= views[v], "%s goes back to an earlier view", v.name)
+		views[v] = v.View().Version
 		for _, e := range append(v.Peers(), v.Self()) {
 			key := seen{by: id, of: e.ID}
 			assert.Assert(t, e.State >= states[key], "%s moves %x back", v.name, e.ID)
-			if e.ID == id && e.State == lhflow.Active && states[key] == lhflow.Joining {
-				checkHandedOver(t, v)
+			if e.ID == id && states[key] == lhflow.Joining {
+				assert.Assert(t, e.State != lhflow.Leaving, "%s owns flows without having joined", v.name)
+				if e.State == lhflow.Active {
+					checkHandedOver(t, v)
+				}
 			}
 			states[key] = e.State
 		}
--- a/lhpeer/node.go
+++ b/lhpeer/node.go
@@ -134,10 +134,7 @@
 		return done
 	}
 	n.settings.Self.Control = listener.Addr().(*net.TCPAddr).AddrPort()
-	n.mu.Lock()
-	contacts := slices.Clone(n.settings.Contacts)
-	n.mu.Unlock()
-	n.join(0, contacts)
+	n.join()
 	go func() { done <- n.run(ctx, listener) }()
 	return done
 }
@@ -168,7 +165,11 @@
 
 func (n *Node) server() *http.Server {
 	mux := http.NewServeMux()
-	mux.Handle(lhpeerv1.NewPeerServiceHandler(&handler{node: n}, connect.WithCompression("gzip", nil, nil)))
+	mux.Handle(lhpeerv1.NewPeerServiceHandler(
+		&handler{node: n},
+		connect.WithCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxMessage),
+	))
 	return &http.Server{
 		Handler:           mux,
 		Protocols:         cleartextHTTP2(),
@@ -177,13 +178,17 @@
 	}
 }
 
-// join begins to take part under a new ID that is higher than after.
-func (n *Node) join(after lhflow.MemberID, contacts []netip.AddrPort) {
+// join begins to take part.
+func (n *Node) join() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	self := n.settings.Self
-	self.ID = NewMemberID(time.Now(), after, rng)
+	self.ID = NewMemberID(time.Now(), 0, rng)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	contacts := slices.Clone(n.settings.Contacts)
+	for _, c := range n.member.contacts {
+		contacts = append(contacts, c.control)
+	}
 	n.member = Join(n.settings.Clock(), self, contacts, n.settings.Timing, rng)
 	n.view.Store(n.member.View())
 }
@@ -230,16 +235,12 @@
 func (n *Node) rejoin() {
 	n.mu.Lock()
 	old := n.member.Self().ID
-	contacts := slices.Clone(n.settings.Contacts)
-	for _, e := range n.member.Peers() {
-		if !e.final() {
-			contacts = append(contacts, e.Control)
-		}
-	}
+	id := NewMemberID(time.Now(), old, n.member.rng)
+	n.member = n.member.Rejoin(n.settings.Clock(), id)
 	n.mu.Unlock()
 	n.counts.rejoins.Add(1)
-	n.settings.Log.Warn().Uint64("member", uint64(old)).Msg("peers hold this member dead; joining anew")
-	n.join(old, contacts)
+	n.settings.Log.Warn().Uint64("member", uint64(old)).Uint64("next", uint64(id)).
+		Msg("the group has gone on without this VM; joining anew")
 }
 
 // show calls the functions of OnView if there is a new view.
@@ -327,7 +328,6 @@
 func (n *Node) Listed(contacts []netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.settings.Contacts = append(n.settings.Contacts, contacts...)
 	n.member.Listed(contacts)
 }
 
--- a/lhpeer/transport.go
+++ b/lhpeer/transport.go
@@ -18,6 +18,9 @@
 	idleTimeout = 30 * time.Second
 	// dialTimeout limits the opening of a connection.
 	dialTimeout = time.Second
+	// maxMessage is the size in bytes of the largest message that is taken in; a
+	// configuration is the largest that peers send.
+	maxMessage = 16 << 20
 )
 
 // transport holds the connections of a VM to its peers.
@@ -62,6 +65,7 @@
 		&http.Client{Transport: t.http},
 		"http://"+control.String(),
 		connect.WithAcceptCompression("gzip", nil, nil),
+		connect.WithReadMaxBytes(maxMessage),
 	)
 }
 
