lhentry: tell servers of later revisions from removed ones

The joining VM counted reason_server_gone once: it is on the way of flows that it will own before it has any configuration, found their server in no table and reset them as removed. A VM that hears late of an added server did the same, and dropped handed-over records of it as those of a removed server. Ruled out: admission (reason_refused 0), a silent server (halfopen_abandoned 0), the planned stop (all were after "left"). Change: numbers of servers only grow, so one beyond the table's last is not removed but not known yet. Its records are kept and packets to it are dropped and counted as dropped_server_ahead, for the caller to repeat. Conclusion: views and revisions that arrive unevenly reset no flow here. A SYN that meets the moment waits for its repetition.

--- a/lhentry/counters.go
+++ b/lhentry/counters.go
@@ -24,6 +24,7 @@
 	CountForeign
 	CountTooBig
 	CountSendFailed
+	CountAhead
 	countCount
 )
 
@@ -31,6 +32,7 @@
 	"packets_received", "packets_to_server", "packets_to_caller", "packets_to_peer",
 	"packets_from_peer", "packets_refused", "packets_reset", "halfopen_abandoned",
 	"dropped_foreign_source", "answered_too_big", "send_failed",
+	"dropped_server_ahead",
 }
 
 var reasonNames = [lhflow.ReasonCount]string{
--- a/lhentry/forward.go
+++ b/lhentry/forward.go
@@ -143,8 +143,14 @@
 }
 
 func (f *forwarder) toServer(p *lhwire.Packet, number uint32) {
-	server, ok := f.entry.table.Load().Server(number)
-	if !ok {
+	table := f.entry.table.Load()
+	server, ok := table.Server(number)
+	switch {
+	case ok:
+	case table.Ahead(number):
+		f.add(CountAhead)
+		return
+	default:
 		f.reasons[lhflow.ReasonServerGone].Add(1)
 		return
 	}
--- a/lhentry/place.go
+++ b/lhentry/place.go
@@ -37,9 +37,14 @@
 	return lhflow.ReasonRefused
 }
 
-// Holds implements lhflow.Placer.
+// Holds implements lhflow.Placer. A server that a later revision declares is not
+// gone: packets to it are dropped, for the caller to repeat, until this VM has
+// that revision.
 func (p placer) Holds(server uint32, key lhflow.Key) bool {
 	table := p.entry.table.Load()
+	if table.Ahead(server) {
+		return true
+	}
 	s, ok := table.Server(server)
 	if !ok {
 		return false
@@ -50,8 +55,9 @@
 
 // Declared implements lhflow.Placer.
 func (p placer) Declared(server uint32) bool {
-	_, ok := p.server(server)
-	return ok
+	table := p.entry.table.Load()
+	_, ok := table.Server(server)
+	return ok || table.Ahead(server)
 }
 
 // Accepts implements lhflow.Placer.
--- a/lhplace/table.go
+++ b/lhplace/table.go
@@ -12,6 +12,8 @@
 // never changed after NewTable; the zero Table holds no service.
 type Table struct {
 	revision uint64
+	// next is the number that the first server after this revision will get.
+	next uint32
 	// services holds every service at its address, port and protocol.
 	services map[endpoint]*Service
 	// servers holds every server at its number.
@@ -51,6 +53,7 @@
 		return t
 	}
 	t.revision = cfg.Revision
+	t.next = cfg.NextNumber
 	byName := t.addServices(cfg.Services)
 	t.addServers(cfg.Servers, byName)
 	addKinds(cfg.Kinds, byName)
@@ -77,6 +80,10 @@
 	return s, ok
 }
 
+// Ahead reports whether a server's number was given by a later revision than the
+// table's. A number that is neither ahead nor found is of a server that was removed.
+func (t *Table) Ahead(number uint32) bool { return number >= t.next }
+
 // ServerAt returns the number of the server of s that sends from addr. Geneve
 // varies the source port, so the port decides only where several servers of the
 // service share an address.
@@ -115,6 +122,7 @@
 		}
 		server := &Server{declared: d, service: s}
 		t.servers[d.Number] = server
+		t.next = max(t.next, d.Number+1)
 		s.servers = append(s.servers, server)
 		t.addSource(server)
 	}
