lhdemo: run loads with faults, events and a flood, and draw them

Cause: experiments with the whole path needed a test written for each. Ruled out: gonum/plot, which is not among the modules here; a chart needs few lines. Change: `laburnumhollow load` runs a pattern of flows (request, open, hold, feed) over a Fleet, with faults of the network, a schedule of drain, restore, stop and start, and a flood of another kind of work. It prints a table or JSON and writes a page with charts. lhstand.Load tells of each flow that ends, bounds the time of opening, and can open flows without a request.

--- /dev/null
+++ b/cmd/laburnumhollow/load.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhdemo"
+	"github.com/spf13/cobra"
+)
+
+// Defaults of an experiment.
+const (
+	loadFlows    = 500
+	loadRate     = 200 // flows a second
+	loadSpan     = 6 * time.Second
+	loadHold     = time.Second
+	loadBytes    = 2000
+	loadWork     = 5 * time.Millisecond
+	loadSlots    = 2
+	loadServers  = 4
+	loadServices = 2
+	loadVMs      = 3
+	loadCentres  = 3
+)
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	experiment lhdemo.Experiment
+	pattern    string
+	events     []string
+	report     string
+	verbose    bool
+}
+
+func newLoadCommand(p *printer) *cobra.Command {
+	var flags loadFlags
+	c := &cobra.Command{
+		Use:   "load",
+		Short: "Run a load over a fleet in one process while faults and changes happen",
+		Long: fmt.Sprintf(`Run a load over a fleet in one process while faults and changes happen.
+
+The fleet consists of entry VMs on loopback with stand-ins for platform, fabric and
+backend servers; nothing outside this process gets any load. Services are named
+service1, service2 and so on, their servers service1-1, service1-2, and VMs vm1,
+vm2. The patterns are %s.
+
+An event changes the fleet while the load runs; its forms are
+%s.
+A flood is a second load of another kind of work at service1, in the second third
+of the span; the first kind then has a share of 60%% and the flood one of 20%%.
+
+Hard limits: %d flows, %d flows a second, a span of %v, 16 VMs, 8 services with
+32 servers each. A run takes under 10 seconds by default. The exit code is not 0 if
+a flow broke; a refused flow is not broken.`,
+			lhdemo.PatternNames(), lhdemo.EventForms, lhdemo.MaxFlows, lhdemo.MaxRate, lhdemo.MaxSpan),
+		Example: `  laburnumhollow load --pattern feed --flows 50 --hold 4s --at "1s drain service1-1" --at "2s stop vm1"
+  laburnumhollow load --services 1 --work 50ms --rate 64 --flows 384 --flood 10 --report flood.html`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := flags.parse(); err != nil {
+				return err
+			}
+			flags.experiment.Log = p.vmLogs(flags.verbose)
+			report, err := flags.experiment.Run(cmd.Context())
+			if len(report.Flows) == 0 {
+				return err
+			}
+			if failed := p.result(report, report.WriteText); failed != nil {
+				return failed
+			}
+			if failed := writeReport(flags.report, &report); failed != nil {
+				return failed
+			}
+			return err
+		},
+	}
+	flags.addTo(c)
+	return c
+}
+
+func (f *loadFlags) addTo(c *cobra.Command) {
+	x, l, flags := &f.experiment, &f.experiment.Layout, c.Flags()
+	flags.StringVar(&f.pattern, "pattern", lhdemo.PatternRequest.String(), "what a flow does: "+lhdemo.PatternNames())
+	flags.IntVar(&x.Flows, "flows", loadFlows, "flows in all")
+	flags.Float64Var(&x.Rate, "rate", loadRate, "flows opened in a second")
+	flags.DurationVar(&x.Span, "span", loadSpan, "time in which flows are opened at most")
+	flags.DurationVar(&x.Hold, "hold", loadHold, "idle time of a held flow, and the whole time of a feed")
+	flags.IntVar(&x.Bytes, "bytes", loadBytes, "size of an answer")
+	flags.IntVar(&l.VMs, "vms", loadVMs, "entry VMs")
+	flags.IntVar(&l.DataCentres, "datacentres", loadCentres, "data centres that VMs and servers are spread over")
+	flags.IntVar(&l.Services, "services", loadServices, "services")
+	flags.IntVar(&l.Servers, "servers", loadServers, "backend servers of each service")
+	flags.IntVar(&l.Slots, "slots", loadSlots, "requests that a server carries out at a time")
+	flags.DurationVar(&l.Work, "work", loadWork, "time that a request takes in its slot")
+	flags.Uint64Var(&l.Seed, "seed", 1, "order in which packets are sprayed and faults happen")
+	flags.Float64Var(&x.Faults.Loss, "loss", 0, "part of the packets that are lost, from 0 to 1")
+	flags.Float64Var(&x.Faults.Duplicate, "duplicates", 0, "part of the packets that come twice, from 0 to 1")
+	flags.Float64Var(&x.Faults.Reorder, "reorder", 0, "part of the packets that come after the next one, from 0 to 1")
+	flags.StringArrayVar(&f.events, "at", nil, "an event; may be given several times, in the order of the times")
+	flags.Float64Var(&x.Flood.Factor, "flood", 0, "flood service1 with so many times its capacity; 0 is no flood")
+	flags.BoolVar(&x.Flood.Urgent, "urgent", false, "make the flood the most urgent kind, not the least urgent")
+	flags.StringVar(&f.report, "report", "", "file for a report with charts; its name ends in .html or .svg")
+	addVerbose(c, &f.verbose)
+}
+
+// parse reads what the flags give as words.
+func (f *loadFlags) parse() error {
+	var err error
+	if f.experiment.Pattern, err = lhdemo.ParsePattern(f.pattern); err != nil {
+		return err
+	}
+	for _, text := range f.events {
+		event, err := lhdemo.ParseEvent(text)
+		if err != nil {
+			return err
+		}
+		f.experiment.Events = append(f.experiment.Events, event)
+	}
+	faults := f.experiment.Faults
+	for _, part := range []float64{faults.Loss, faults.Duplicate, faults.Reorder} {
+		if part < 0 || part > 1 {
+			return lhcode.Newf(lhcode.Usage, "%v is no part from 0 to 1", part)
+		}
+	}
+	if f.report != "" && !isHTML(f.report) && !strings.HasSuffix(f.report, ".svg") {
+		return lhcode.Newf(lhcode.Usage, "report %q ends neither in .html nor in .svg", f.report)
+	}
+	return nil
+}
+
+func isHTML(path string) bool { return strings.HasSuffix(path, ".html") }
+
+// writeReport writes the report with charts to a file; no path is none.
+func writeReport(path string, r *lhdemo.Report) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return lhcode.Wrap(lhcode.FileUnreadable, err, "write the report")
+	}
+	err = drawReport(file, path, r)
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	return lhcode.Wrap(lhcode.FileUnreadable, err, "write the report")
+}
+
+func drawReport(w io.Writer, path string, r *lhdemo.Report) error {
+	if isHTML(path) {
+		return r.WriteHTML(w)
+	}
+	return r.WriteSVG(w)
+}
--- a/cmd/laburnumhollow/main.go
+++ b/cmd/laburnumhollow/main.go
@@ -73,6 +73,7 @@
 		newDumpCommand(p),
 		newStatusCommand(p),
 		newDemoCommand(p),
+		newLoadCommand(p),
 		newVersionCommand(p),
 	)
 	return root
--- a/lhdemo/demo.go
+++ b/lhdemo/demo.go
@@ -171,14 +171,10 @@
 
 // turn lets the short flows go on for a while.
 func turn(ctx context.Context) error {
-	timer := time.NewTimer(demoTurn)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !sleepUntil(ctx, time.Now().Add(demoTurn)) {
 		return lhcode.Wrap(lhcode.NotReached, ctx.Err(), "let flows go on")
 	}
+	return nil
 }
 
 func (d *demo) stopVM(ctx context.Context) error { return d.fleet.Stop(ctx, demoVM) }
--- /dev/null
+++ b/lhdemo/flood.go
@@ -0,0 +1,135 @@
+package lhdemo
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhstand"
+)
+
+// Flood is a load of one kind of work beyond what its service can take, in the
+// second of three equal parts of an experiment. The steady load before it is
+// another kind of work of the same service, within its share.
+type Flood struct {
+	// Factor is how many times its capacity the first service is flooded with; 0 is
+	// no flood.
+	Factor float64
+	// Urgent makes the flood more urgent than the steady kind, not less.
+	Urgent bool
+}
+
+// The two kinds are told apart by their callers.
+var (
+	steadyCallers = netip.MustParsePrefix("198.18.0.0/16")
+	floodCallers  = netip.MustParsePrefix("198.19.0.0/16")
+)
+
+// Urgencies and shares (in percent) of the two kinds.
+const (
+	steadyUrgency = 5
+	floodLess     = 1
+	floodMore     = 9
+	steadyShare   = 60
+	floodShare    = 20
+)
+
+// floodParts is how many equal parts the experiment has.
+const floodParts = 3
+
+func (d Flood) kinds() []Kind {
+	if d.Factor == 0 {
+		return nil
+	}
+	urgency := floodLess
+	if d.Urgent {
+		urgency = floodMore
+	}
+	return []Kind{
+		{Name: "steady", Callers: steadyCallers, Urgency: steadyUrgency, Share: steadyShare},
+		{Name: "flood", Callers: floodCallers, Urgency: urgency, Share: floodShare},
+	}
+}
+
+// Capacity returns how many requests a second a service of the layout carries out.
+func (l Layout) Capacity() float64 {
+	return float64(l.Servers*max(l.Slots, 1)) / l.Work.Seconds()
+}
+
+// rate returns the flows a second of the flood.
+func (d Flood) rate(x *Experiment) float64 {
+	if d.Factor == 0 || x.Layout.Work == 0 {
+		return 0
+	}
+	return d.Factor * x.Layout.Capacity()
+}
+
+// flows returns how many flows the flood opens.
+func (d Flood) flows(x *Experiment) int {
+	return int(d.rate(x) * (x.Span / floodParts).Seconds())
+}
+
+func (d Flood) load(x *Experiment) timedLoad {
+	l := PatternRequest.load(0, x.Bytes)
+	l.Service, l.Callers = serviceAt(0), floodCallers
+	l.Flows, l.Rate, l.Span = d.flows(x), d.rate(x), x.Span/floodParts
+	l.Parallel = l.Flows
+	l.Request.ID = "flood"
+	l.Patience = x.patience()
+	return timedLoad{Load: l, name: "flood", flood: true, after: x.Span / floodParts}
+}
+
+// phase returns the part of the experiment that a time falls into.
+func (d Flood) phase(span, at time.Duration) int {
+	return min(max(int(at*floodParts/span), 0), floodParts-1)
+}
+
+// Phase counts the flows of the steady kind that were opened in one part of an
+// experiment, by how they ended.
+type Phase struct {
+	Name string `json:"name"`
+	Tally
+	// Goodput is the flows that ended whole, a second.
+	Goodput float64 `json:"goodput"`
+}
+
+// Kept says what a flood leaves to the steady kind.
+type Kept struct {
+	// Part is the goodput during the flood over that before it.
+	Part   float64 `json:"part"`
+	Phases []Phase `json:"phases"`
+}
+
+// keptCounts counts the steady flows by the part in which they were opened.
+type keptCounts struct {
+	mu    sync.Mutex
+	parts [floodParts]Tally
+}
+
+func (k *keptCounts) note(part int, o lhstand.Outcome) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := &k.parts[part]
+	t.Opened++
+	if o == lhstand.Whole {
+		t.note(nil)
+		return
+	}
+	t.note(o)
+}
+
+func (k *keptCounts) result(span time.Duration) Kept {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var kept Kept
+	for i, name := range []string{"before the flood", "during the flood", "after the flood"} {
+		t := k.parts[i]
+		t.Pattern = "steady"
+		goodput := float64(t.Whole) / (span / floodParts).Seconds()
+		kept.Phases = append(kept.Phases, Phase{Name: name, Tally: t, Goodput: goodput})
+	}
+	if before := kept.Phases[0].Goodput; before > 0 {
+		kept.Part = kept.Phases[1].Goodput / before
+	}
+	return kept
+}
--- a/lhdemo/folder.go
+++ b/lhdemo/folder.go
@@ -32,7 +32,7 @@
 	var b strings.Builder
 	for n := range l.Services {
 		for _, k := range l.Kinds {
-			fmt.Fprintf(&b, "[kind %s-%s]\nservice = %s\ncallers = %v\nurgency = %d\nshare = %d%%\n",
+			fmt.Fprintf(&b, "[kind %s-%s]\nservice = %s\ncallers = %v\nurgency = %d\nshare = %d\n",
 				serviceName(n), k.Name, serviceName(n), k.Callers, k.Urgency, k.Share)
 		}
 	}
--- /dev/null
+++ b/lhdemo/text.go
@@ -0,0 +1,70 @@
+package lhdemo
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Quantiles in percent.
+const (
+	medianQuantile = 50
+	highQuantile   = 99
+)
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	if h == nil {
+		return Quantiles{}
+	}
+	return Quantiles{
+		Median: h.ValueAtQuantile(medianQuantile),
+		High:   h.ValueAtQuantile(highQuantile),
+		Most:   h.Max(),
+	}
+}
+
+// String returns the times in milliseconds.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("%s / %s / %s", milliseconds(q.Median), milliseconds(q.High), milliseconds(q.Most))
+}
+
+func milliseconds(microseconds int64) string {
+	return fmt.Sprintf("%.1f", float64(microseconds)/float64(time.Millisecond/time.Microsecond))
+}
+
+// WriteText writes the report as columns that are parted by tabs.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprint(w, "flows\topened\twhole\trefused\tbroken\twhole/s\topening ms (median / 99% / most)\trequest ms\n")
+	for _, l := range r.Flows {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.0f\t%v\t%v\n",
+			l.Pattern, l.Opened, l.Whole, l.Refused, l.Broken, l.Rate, l.Opening, l.Latency)
+	}
+	r.writeKept(w)
+	r.writeEvents(w)
+	fmt.Fprintf(w, "\nbusiest server over the mean\t%.2f\n", r.Imbalance)
+	fmt.Fprintf(w, "requests that ran more than once\t%d\n", r.Repeated)
+	r.Traffic.writeText(w)
+}
+
+func (r *Report) writeKept(w io.Writer) {
+	if r.Kept == nil {
+		return
+	}
+	fmt.Fprint(w, "\nsteady kind\topened\twhole\trefused\tbroken\twhole/s\n")
+	for _, p := range r.Kept.Phases {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.1f\n", p.Name, p.Opened, p.Whole, p.Refused, p.Broken, p.Goodput)
+	}
+	fmt.Fprintf(w, "kept during the flood\t%.3f\n", r.Kept.Part)
+}
+
+func (r *Report) writeEvents(w io.Writer) {
+	if len(r.Events) == 0 {
+		return
+	}
+	fmt.Fprint(w, "\nevent\tat\ttook\n")
+	for _, e := range r.Events {
+		fmt.Fprintf(w, "%s\t%d ms\t%d ms\t%s\n", e.Event, e.At, e.Milliseconds, e.Fault)
+	}
+}
--- a/lhstand/load.go
+++ b/lhstand/load.go
@@ -37,8 +37,21 @@
 	// Hold is how long a flow stays open and idle before each further request and
 	// before it is closed.
 	Hold time.Duration
+	// NoRequest makes each TCP flow carry no request: it is opened, held and closed.
+	NoRequest bool
 	// Patience bounds the time of a flow; 0 is DefaultPatience.
 	Patience time.Duration
+	// Span bounds the time in which flows are opened; 0 is no bound.
+	Span time.Duration
+	// Observe, where it is set, is told of each flow that has ended, by several
+	// goroutines at a time.
+	Observe func(Ending)
+}
+
+// Ending is a flow of a load that has ended.
+type Ending struct {
+	Began, Ended time.Time
+	Outcome      Outcome
 }
 
 // DefaultCallers is the block that is set aside for benchmarks (RFC 2544).
@@ -85,6 +98,9 @@
 	}
 	l.Parallel = max(1, min(l.Parallel, l.Flows))
 	l.Requests = max(1, l.Requests)
+	if l.NoRequest {
+		l.Requests = 0
+	}
 	return l
 }
 
@@ -107,18 +123,23 @@
 		if flow >= r.Flows || !r.pace(ctx, flow) {
 			return result
 		}
-		result.Outcomes[r.carryOut(ctx, flow, result)]++
+		began := time.Now()
+		outcome := r.carryOut(ctx, flow, result)
+		result.Outcomes[outcome]++
+		if r.Observe != nil {
+			r.Observe(Ending{Began: began, Ended: time.Now(), Outcome: outcome})
+		}
 	}
 }
 
 // pace waits for the time at which a flow is to be opened. It reports false when
-// the context has ended.
+// the context or the span has ended.
 func (r *loadRun) pace(ctx context.Context, flow int) bool {
 	if r.Rate > 0 {
 		due := r.start.Add(time.Duration(float64(flow) / r.Rate * float64(time.Second)))
 		sleep(ctx, time.Until(due))
 	}
-	return ctx.Err() == nil
+	return ctx.Err() == nil && (r.Span == 0 || time.Since(r.start) < r.Span)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -184,6 +205,9 @@
 	}
 	defer conn.Abort()
 	result.open(time.Since(began))
+	if r.NoRequest {
+		sleep(ctx, r.Hold)
+	}
 	for n := range r.Requests {
 		if err := r.request(conn, r.id(flow, n), result); err != nil {
 			return err
--- a/lhstand/load_test.go
+++ b/lhstand/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 		{"paced", Load{Flows: 20, Parallel: 20, Rate: 1000, Hold: time.Millisecond}, Whole, 20, Behavior{}},
 		{"feeds", Load{Flows: 5, Parallel: 5, Request: Request{ID: "feed", Lines: 3, Gap: time.Millisecond}}, Whole, 5, Behavior{}},
 		{"datagrams", Load{Flows: 20, Parallel: 4, Proto: lhflow.UDP}, Whole, 20, Behavior{}},
+		{"no requests", Load{Flows: 10, Parallel: 2, NoRequest: true}, Whole, 0, Behavior{}},
 		{"refused", Load{Flows: 10, Parallel: 5}, Refused, 0, Behavior{Refusing: true}},
 		{"silent", Load{Flows: 5, Parallel: 5, Patience: 10 * time.Millisecond}, TimedOut, 0, Behavior{Silent: true}},
 	}
@@ -33,9 +35,16 @@
 			fabric := startAll(t, server, 2)
 			server.Set(func(b *Behavior) { *b = c.behavior })
 			c.load.Service = service
+			var observed atomic.Int64
+			c.load.Observe = func(e Ending) {
+				if e.Outcome == c.outcome && !e.Ended.Before(e.Began) {
+					observed.Add(1)
+				}
+			}
 			result := c.load.Run(context.Background(), fabric)
 			assert.Equal(t, result.Outcomes[c.outcome], c.load.Flows)
 			assert.Equal(t, result.Flows(), c.load.Flows)
+			assert.Equal(t, int(observed.Load()), c.load.Flows)
 			assert.Equal(t, result.Requests, c.requests)
 			assert.Equal(t, result.Services["cutdesk"], c.requests)
 			assert.Equal(t, int(result.Latency.TotalCount()), c.requests)
@@ -55,6 +64,12 @@
 	assert.Equal(t, result.Flows(), 0)
 }
 
+func TestLoadStopsWithItsSpan(t *testing.T) {
+	fabric := startAll(t, &BackendServer{Name: "s1", Service: "cutdesk"}, 1)
+	result := Load{Service: service, Flows: 10, Span: time.Nanosecond}.Run(context.Background(), fabric)
+	assert.Equal(t, result.Flows(), 0)
+}
+
 func TestLoadsFollowEachOther(t *testing.T) {
 	fabric := startAll(t, &BackendServer{Name: "s1", Service: "cutdesk"}, 1)
 	for range 2 {
