lhdemo: show what a flood leaves to the kind beside it

Cause: the result of a flood gave no times by phase and had no policy beside it to be held against. Change: times of the steady kind before, during and after the flood; the flood's pattern; --no-kinds, which declares no kinds.

--- a/cmd/laburnumhollow/load.go
+++ b/cmd/laburnumhollow/load.go
@@ -31,6 +31,7 @@
 type loadFlags struct {
 	experiment lhdemo.Experiment
 	pattern    string
+	flood      string
 	events     []string
 	report     string
 	verbose    bool
@@ -103,6 +104,8 @@
 	flags.StringArrayVar(&f.events, "at", nil, "an event; may be given several times, in the order of the times")
 	flags.Float64Var(&x.Flood.Factor, "flood", 0, "flood service1 with so many times its capacity; 0 is no flood")
 	flags.BoolVar(&x.Flood.Urgent, "urgent", false, "make the flood the most urgent kind, not the least urgent")
+	flags.StringVar(&f.flood, "flood-pattern", lhdemo.PatternRequest.String(), "what a flow of the flood does: "+lhdemo.PatternNames())
+	flags.BoolVar(&x.Flood.Undeclared, "no-kinds", false, "declare no kinds of work, to see what a flood does without shares")
 	flags.StringVar(&f.report, "report", "", "file for a report with charts; its name ends in .html or .svg")
 	addVerbose(c, &f.verbose)
 }
@@ -113,6 +116,9 @@
 	if f.experiment.Pattern, err = lhdemo.ParsePattern(f.pattern); err != nil {
 		return err
 	}
+	if f.experiment.Flood.Pattern, err = lhdemo.ParsePattern(f.flood); err != nil {
+		return err
+	}
 	for _, text := range f.events {
 		event, err := lhdemo.ParseEvent(text)
 		if err != nil {
--- a/lhdemo/experiment.go
+++ b/lhdemo/experiment.go
@@ -210,7 +210,7 @@
 	}
 	return func(e lhstand.Ending) {
 		record(e)
-		r.kept.note(r.Flood.phase(r.Span, e.Began.Sub(r.recorder.start)), e.Outcome)
+		r.kept.note(r.Flood.phase(r.Span, e.Began.Sub(r.recorder.start)), e)
 	}
 }
 
--- /dev/null
+++ b/lhdemo/experiment_test.go
@@ -0,0 +1,156 @@
+package lhdemo
+
+import (
+	"encoding/json"
+	"encoding/xml"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhstand"
+)
+
+// small returns an experiment that takes little time.
+func small() Experiment {
+	return Experiment{
+		Layout: Layout{DataCentres: 2, VMs: 2, Services: 2, Servers: 2, Slots: 2, Work: time.Millisecond},
+		Flows:  40, Rate: 200, Span: 3 * time.Second, Hold: 20 * time.Millisecond, Bytes: 2000,
+	}
+}
+
+func TestPatterns(t *testing.T) {
+	cases := []struct {
+		pattern  Pattern
+		requests bool
+	}{
+		{PatternRequest, true},
+		{PatternOpen, false},
+		{PatternHold, true},
+		{PatternFeed, true},
+	}
+	for _, c := range cases {
+		t.Run(c.pattern.String(), func(t *testing.T) {
+			x := small()
+			x.Pattern = c.pattern
+			r, err := x.Run(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, len(r.Flows), 2)
+			for _, l := range r.Flows {
+				assert.Equal(t, l.Whole, 20)
+				assert.Equal(t, l.Latency.Most > 0, c.requests)
+			}
+			parsed, err := ParsePattern(c.pattern.String())
+			assert.NilError(t, err)
+			assert.Equal(t, parsed, c.pattern)
+		})
+	}
+}
+
+// TestEventsUnderFaults changes servers and VMs while flows are held and packets
+// are lost, come twice and overtake each other.
+func TestEventsUnderFaults(t *testing.T) {
+	x := small()
+	x.Pattern, x.Hold = PatternHold, 500*time.Millisecond
+	x.Faults = lhstand.Faults{Loss: 0.01, Duplicate: 0.01, Reorder: 0.02}
+	for _, text := range []string{"50ms drain service1-1", "60ms start", "70ms stop vm1", "80ms restore service1-1"} {
+		e, err := ParseEvent(text)
+		assert.NilError(t, err)
+		x.Events = append(x.Events, e)
+	}
+	r, err := x.Run(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Events), 4)
+	for _, l := range r.Flows {
+		assert.Equal(t, l.Whole, 20, "%+v", l.Tally)
+	}
+	checkDrawing(t, &r)
+}
+
+// checkDrawing checks that the report can be drawn and names events and VMs.
+func checkDrawing(t *testing.T, r *Report) {
+	t.Helper()
+	var svg, page strings.Builder
+	assert.NilError(t, r.WriteSVG(&svg))
+	decoder := xml.NewDecoder(strings.NewReader(svg.String()))
+	for {
+		_, err := decoder.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, r.WriteHTML(&page))
+	for _, word := range []string{"stop vm1", "vm3", "service1-2", "service1 whole"} {
+		assert.Assert(t, cmp.Contains(svg.String(), word))
+		assert.Assert(t, cmp.Contains(page.String(), word))
+	}
+	_, err := json.Marshal(r)
+	assert.NilError(t, err)
+}
+
+// TestFlood floods one service through real sockets. What is refused is told so,
+// and the other kind goes on.
+func TestFlood(t *testing.T) {
+	for _, urgent := range []bool{false, true} {
+		x := small()
+		x.Layout.Services, x.Layout.Work = 1, 20*time.Millisecond
+		x.Flows, x.Rate, x.Span = 240, 80, 3*time.Second
+		x.Flood = Flood{Factor: 10, Urgent: urgent}
+		r, err := x.Run(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, r.Kept.Part >= 0.95, "%+v", r.Kept)
+		assert.Equal(t, len(r.Flows), 2)
+		flood := r.Flows[1].Tally
+		assert.Assert(t, flood.Refused > flood.Whole, "%+v", flood)
+		assert.Equal(t, flood.Broken, 0)
+	}
+}
+
+func TestExperimentsOutOfBounds(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Experiment)
+	}{
+		{"no flows", func(x *Experiment) { x.Flows = 0 }},
+		{"too many flows", func(x *Experiment) { x.Flows = MaxFlows + 1 }},
+		{"rate", func(x *Experiment) { x.Rate = MaxRate + 1 }},
+		{"span", func(x *Experiment) { x.Span = MaxSpan + 1 }},
+		{"hold", func(x *Experiment) { x.Hold = MaxHold + 1 }},
+		{"bytes", func(x *Experiment) { x.Bytes = -1 }},
+		{"late event", func(x *Experiment) { x.Events = []Event{{At: MaxSpan + 1}} }},
+		{"events out of order", func(x *Experiment) { x.Events = []Event{{At: 2}, {At: 1}} }},
+		{"flood of unknown capacity", func(x *Experiment) { x.Flood.Factor, x.Layout.Work = 1, 0 }},
+		{"flood beyond the rate", func(x *Experiment) { x.Flood.Factor = 1000 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			x := small()
+			c.change(&x)
+			_, err := x.Run(t.Context())
+			assert.Equal(t, lhcode.Of(err), lhcode.Usage)
+		})
+	}
+}
+
+func TestEventsOfWrongForm(t *testing.T) {
+	for _, text := range []string{"", "1s", "soon stop vm1", "-1s stop vm1", "1s stop", "1s start vm1", "1s kill vm1"} {
+		_, err := ParseEvent(text)
+		assert.Equal(t, lhcode.Of(err), lhcode.Usage, text)
+	}
+}
+
+// TestFailedEventIsReported goes on with the load and names the event.
+func TestFailedEventIsReported(t *testing.T) {
+	x := small()
+	x.Events = []Event{{Change: "stop", Name: "vm9"}}
+	r, err := x.Run(t.Context())
+	assert.ErrorContains(t, err, "vm9")
+	assert.Equal(t, r.Flows[0].Whole, 20)
+	assert.Assert(t, r.Events[0].Fault != "")
+}
--- a/lhdemo/flood.go
+++ b/lhdemo/flood.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/laburnumhollow/laburnumhollow/lhstand"
 )
 
@@ -17,6 +19,11 @@
 	Factor float64
 	// Urgent makes the flood more urgent than the steady kind, not less.
 	Urgent bool
+	// Pattern is what each flow of the flood does.
+	Pattern Pattern
+	// Undeclared leaves the two kinds out of the configuration, so that neither has
+	// a share.
+	Undeclared bool
 }
 
 // The two kinds are told apart by their callers.
@@ -38,7 +45,7 @@
 const floodParts = 3
 
 func (d Flood) kinds() []Kind {
-	if d.Factor == 0 {
+	if d.Factor == 0 || d.Undeclared {
 		return nil
 	}
 	urgency := floodLess
@@ -70,7 +77,7 @@
 }
 
 func (d Flood) load(x *Experiment) timedLoad {
-	l := PatternRequest.load(0, x.Bytes)
+	l := d.Pattern.load(x.Hold, x.Bytes)
 	l.Service, l.Callers = serviceAt(0), floodCallers
 	l.Flows, l.Rate, l.Span = d.flows(x), d.rate(x), x.Span/floodParts
 	l.Parallel = l.Flows
@@ -91,6 +98,8 @@
 	Tally
 	// Goodput is the flows that ended whole, a second.
 	Goodput float64 `json:"goodput"`
+	// Time is how long the flows that ended whole took from their opening to their end.
+	Time Quantiles `json:"time"`
 }
 
 // Kept says what a flood leaves to the steady kind.
@@ -104,20 +113,28 @@
 type keptCounts struct {
 	mu    sync.Mutex
 	parts [floodParts]Tally
+	times [floodParts]*hdrhistogram.Histogram
 }
 
-func (k *keptCounts) note(part int, o lhstand.Outcome) {
+func (k *keptCounts) note(part int, e lhstand.Ending) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	t := &k.parts[part]
 	t.Opened++
-	if o == lhstand.Whole {
-		t.note(nil)
+	if e.Outcome != lhstand.Whole {
+		t.note(e.Outcome)
 		return
 	}
-	t.note(o)
+	t.note(nil)
+	if k.times[part] == nil {
+		k.times[part] = hdrhistogram.New(1, MaxSpan.Microseconds(), recordedFigures)
+	}
+	_ = k.times[part].RecordValue(min(e.Ended.Sub(e.Began).Microseconds(), MaxSpan.Microseconds()))
 }
 
+// recordedFigures is how many figures of a time are kept.
+const recordedFigures = 3
+
 func (k *keptCounts) result(span time.Duration) Kept {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -126,7 +143,7 @@
 		t := k.parts[i]
 		t.Pattern = "steady"
 		goodput := float64(t.Whole) / (span / floodParts).Seconds()
-		kept.Phases = append(kept.Phases, Phase{Name: name, Tally: t, Goodput: goodput})
+		kept.Phases = append(kept.Phases, Phase{Name: name, Tally: t, Goodput: goodput, Time: quantiles(k.times[i])})
 	}
 	if before := kept.Phases[0].Goodput; before > 0 {
 		kept.Part = kept.Phases[1].Goodput / before
--- a/lhdemo/text.go
+++ b/lhdemo/text.go
@@ -52,9 +52,9 @@
 	if r.Kept == nil {
 		return
 	}
-	fmt.Fprint(w, "\nsteady kind\topened\twhole\trefused\tbroken\twhole/s\n")
+	fmt.Fprint(w, "\nsteady kind\topened\twhole\trefused\tbroken\twhole/s\tflow ms (median / 99% / most)\n")
 	for _, p := range r.Kept.Phases {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.1f\n", p.Name, p.Opened, p.Whole, p.Refused, p.Broken, p.Goodput)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.1f\t%v\n", p.Name, p.Opened, p.Whole, p.Refused, p.Broken, p.Goodput, p.Time)
 	}
 	fmt.Fprintf(w, "kept during the flood\t%.3f\n", r.Kept.Part)
 }
--- a/lhstand/doc.go
+++ b/lhstand/doc.go
@@ -1,6 +1,6 @@
 // Package lhstand holds small stand-ins for what surrounds the balancer: the
 // fabric with its callers, backend servers, and the platform's service. Tests and
-// load runs use them on loopback; nothing else does.
+// package lhdemo use them on loopback; nothing else does.
 //
 // A Fabric hands each packet of its callers to one of the entry VMs at random, so
 // that the packets of one flow reach all of them. A BackendServer answers to any
