lhkey: add keys by which the VMs of a group know each other

Control traffic between VMs went in cleartext, so anyone who reached a control port could take part in a group. lhkey holds the certificates for it: an authority for each group, whose certificates hold the DNS name GROUP.peers, and a Ring that reads a VM's files and makes the settings of TLS 1.3 from them.

A DNS name was preferred to a URI because crypto/tls itself checks it on the client's side, and because an authority can be constrained to it: even with its key lost, it signs for no other group's name. Files are compared with the last reading at each handshake; a watcher would need a goroutine and learns nothing sooner.

--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -35,6 +35,10 @@
 	ReferenceUnknown Code = 106
 	// DeclaredTwice is an address or name that two declarations claim.
 	DeclaredTwice Code = 107
+	// KeyInvalid is a certificate or key that can't be used.
+	KeyInvalid Code = 108
+	// FileExists is a file that would have been replaced.
+	FileExists Code = 109
 
 	// Conflict is an apply that another operator's change to the same file preceded.
 	Conflict Code = 201
@@ -57,6 +61,8 @@
 	PeerUnknown Code = 602
 	// PeerReplaced is a member whose VM has since been started anew.
 	PeerReplaced Code = 603
+	// PeerRefused is a peer that can't prove that it belongs to the group.
+	PeerRefused Code = 604
 
 	// Unreachable is an entry process that gave no answer to an operator.
 	Unreachable Code = 701
--- /dev/null
+++ b/lhkey/ring_test.go
@@ -0,0 +1,203 @@
+package lhkey
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+)
+
+// now is the time of all tests.
+var now = time.Now()
+
+func newAuthority(t *testing.T, group string) *Authority {
+	t.Helper()
+	return newAuthorityAt(t, group, now)
+}
+
+func newAuthorityAt(t *testing.T, group string, at time.Time) *Authority {
+	t.Helper()
+	a, err := NewAuthority(group, at)
+	assert.NilError(t, err)
+	return a
+}
+
+// save writes the files of a VM into a new folder.
+func save(t *testing.T, a *Authority, group string, at time.Time) Files {
+	t.Helper()
+	dir := t.TempDir()
+	authority, err := a.Pair()
+	assert.NilError(t, err)
+	assert.NilError(t, authority.Save(dir, AuthorityName))
+	pair, err := a.Issue(VM{Group: group, Name: "vm", Addresses: []netip.Addr{netip.MustParseAddr("10.0.0.1")}}, at)
+	assert.NilError(t, err)
+	assert.NilError(t, pair.Save(dir, "vm"))
+	return FilesIn(dir, "vm")
+}
+
+// open opens files whose certificates were made at a time, as if it still were.
+func open(t *testing.T, files Files, group string, at time.Time) *Ring {
+	t.Helper()
+	keys, err := readKeys(files, GroupName(group), at)
+	assert.NilError(t, err)
+	return &Ring{
+		files: files, name: GroupName(group), keys: keys, log: zerolog.Nop(),
+		clock: func() time.Time { return at },
+	}
+}
+
+// handshake connects two rings and returns how that ended at each side.
+func handshake(t *testing.T, client, server *Ring) (clientErr, serverErr error) {
+	t.Helper()
+	a, b := net.Pipe()
+	ended := make(chan error, 1)
+	go func() {
+		conn := tls.Server(b, server.Server())
+		err := conn.HandshakeContext(t.Context())
+		if err == nil {
+			// The client learns from this whether it was accepted.
+			_, err = conn.Write([]byte{1})
+		}
+		_ = b.Close()
+		ended <- err
+	}()
+	conn, err := client.Handshake(context.Background(), a)
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1))
+	}
+	_ = a.Close()
+	return err, <-ended
+}
+
+func TestHandshake(t *testing.T) {
+	hokkaido, honshu := newAuthority(t, "hokkaido"), newAuthority(t, "honshu")
+	ringOf := func(a *Authority, group string) *Ring { return open(t, save(t, a, group, now), group, now) }
+	own := ringOf(hokkaido, "hokkaido")
+	cases := []struct {
+		name string
+		peer *Ring
+		at   time.Time
+		ok   bool
+	}{
+		{"same group", ringOf(hokkaido, "hokkaido"), now, true},
+		{"other authority", ringOf(newAuthority(t, "hokkaido"), "hokkaido"), now, false},
+		{"other group", ringOf(honshu, "honshu"), now, false},
+		{"expired", ringOf(hokkaido, "hokkaido"), now.Add(VMLife + time.Second), false},
+		{"not valid yet", ringOf(hokkaido, "hokkaido"), now.Add(-time.Hour), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			own.clock = func() time.Time { return c.at }
+			_, serverErr := handshake(t, c.peer, own)
+			assert.Equal(t, serverErr == nil, c.ok, "%v", serverErr)
+			before := own.Counters().FailedHandshakes
+			clientErr, _ := handshake(t, own, c.peer)
+			assert.Equal(t, clientErr == nil, c.ok, "%v", clientErr)
+			if !c.ok {
+				assert.Equal(t, lhcode.Of(clientErr), lhcode.PeerRefused)
+				assert.Equal(t, own.Counters().FailedHandshakes, before+1)
+			}
+		})
+	}
+}
+
+// TestForeignNameUnderOneAuthority covers an authority that serves several groups,
+// which this package never makes.
+func TestForeignNameUnderOneAuthority(t *testing.T) {
+	shared := newAuthority(t, "hokkaido")
+	template := newTemplate("shared", now, VMLife)
+	template.IsCA = true
+	var err error
+	shared.certificate, err = sign(template, template, shared.key, shared.key)
+	assert.NilError(t, err)
+	hokkaido := open(t, save(t, shared, "hokkaido", now), "hokkaido", now)
+	honshu := open(t, save(t, shared, "honshu", now), "honshu", now)
+	clientErr, serverErr := handshake(t, hokkaido, honshu)
+	assert.Assert(t, clientErr != nil && serverErr != nil)
+	// The server alone refuses as well.
+	honshu.name = hokkaido.name
+	_, serverErr = handshake(t, honshu, hokkaido)
+	assert.ErrorContains(t, serverErr, "hokkaido.peers")
+}
+
+func TestOpenFaults(t *testing.T) {
+	good := save(t, newAuthority(t, "hokkaido"), "hokkaido", time.Now())
+	other := save(t, newAuthority(t, "hokkaido"), "hokkaido", time.Now())
+	past := now.Add(-2 * VMLife)
+	old := save(t, newAuthorityAt(t, "hokkaido", past), "hokkaido", past)
+	cases := []struct {
+		name  string
+		files Files
+		group string
+		code  lhcode.Code
+	}{
+		{"good", good, "hokkaido", lhcode.OK},
+		{"absent", FilesIn(t.TempDir(), "vm"), "hokkaido", lhcode.FileUnreadable},
+		{"other CA", Files{other.CA, good.Certificate, good.Key}, "hokkaido", lhcode.KeyInvalid},
+		{"other key", Files{good.CA, good.Certificate, other.Key}, "hokkaido", lhcode.KeyInvalid},
+		{"key for CA", Files{good.Key, good.Certificate, good.Key}, "hokkaido", lhcode.KeyInvalid},
+		{"other group", good, "honshu", lhcode.KeyInvalid},
+		{"expired", old, "hokkaido", lhcode.KeyInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Open(c.files, c.group, zerolog.Nop())
+			assert.Equal(t, lhcode.Of(err), c.code, "%v", err)
+		})
+	}
+}
+
+func TestRenewal(t *testing.T) {
+	a := newAuthority(t, "hokkaido")
+	files := save(t, a, "hokkaido", now)
+	ring := open(t, files, "hokkaido", now)
+	peer := open(t, save(t, a, "hokkaido", now), "hokkaido", now)
+	first := ring.current()
+
+	assert.NilError(t, os.WriteFile(files.Certificate, []byte("half a fi"), 0o600))
+	for range 3 {
+		clientErr, _ := handshake(t, ring, peer)
+		assert.NilError(t, clientErr)
+	}
+	assert.Equal(t, ring.current(), first)
+	assert.Equal(t, ring.Counters(), Counters{FailedRenewals: 4})
+
+	pair, err := a.Issue(VM{Group: "hokkaido", Name: "renewed"}, now)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(files.Certificate, pair.Certificate, 0o600))
+	assert.NilError(t, os.WriteFile(files.Key, pair.Key, 0o600))
+	clientErr, _ := handshake(t, ring, peer)
+	assert.NilError(t, clientErr)
+	assert.Equal(t, ring.current().certificate.Leaf.Subject.CommonName, "renewed")
+	assert.Equal(t, ring.Counters().Renewals, uint64(1))
+}
+
+func TestSaveReplacesNothing(t *testing.T) {
+	dir := t.TempDir()
+	pair := Pair{Certificate: []byte("c"), Key: []byte("k")}
+	assert.NilError(t, pair.Save(dir, "vm"))
+	assert.Equal(t, lhcode.Of(pair.Save(dir, "vm")), lhcode.FileExists)
+	for _, path := range []string{FilesIn(dir, "vm").Certificate, FilesIn(dir, "vm").Key} {
+		info, err := os.Stat(path)
+		assert.NilError(t, err)
+		assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+	}
+	assert.NilError(t, os.Remove(FilesIn(dir, "vm").Key))
+	assert.Equal(t, lhcode.Of(pair.Save(dir, "vm")), lhcode.FileExists)
+	_, err := os.Stat(FilesIn(dir, "vm").Key)
+	assert.Assert(t, errors.Is(err, os.ErrNotExist))
+}
+
+func TestAuthorityIssuesForItsGroupOnly(t *testing.T) {
+	_, err := newAuthority(t, "hokkaido").Issue(VM{Group: "honshu", Name: "vm"}, now)
+	assert.Equal(t, lhcode.Of(err), lhcode.KeyInvalid)
+}
