lhpeer: let only VMs with the group's keys take part

Whoever reached a control port could join a group, hand records over and spread a configuration. Bytes are counted on the wire, TLS included.

A handshake alone is not enough: connections between peers stay open for as long as both live, so a certificate that expires or an authority that is replaced would change nothing for them. Each request is therefore checked against the keys of that moment, and a VM closes its idle connections once its own keys have changed.

--- a/lhpeer/counts.go
+++ b/lhpeer/counts.go
@@ -28,7 +28,8 @@
 type Counters struct {
 	// Counts are of the membership since the node last joined.
 	Counts
-	// BytesOut and BytesIn count control traffic, HTTP included, TCP and IP headers not.
+	// BytesOut and BytesIn count control traffic, HTTP and TLS included, TCP and IP
+	// headers not.
 	BytesOut, BytesIn uint64
 	// RecordsOut and RecordsIn count records of flows handed over.
 	RecordsOut, RecordsIn uint64
--- a/lhpeer/doc.go
+++ b/lhpeer/doc.go
@@ -35,6 +35,8 @@
 //	view := m.View()
 //
 // Node carries the messages between the memberships of a group by connect-go
-// over HTTP/2 without encryption, hands records over and counts each byte that
-// it writes against the VM's budget for control traffic.
+// over HTTP/2, hands records over and counts each byte that it writes against the
+// VM's budget for control traffic. With Settings.Keys it does so by TLS, in which
+// both sides prove that they belong to the group; without, it trusts whoever
+// reaches it.
 package lhpeer
--- /dev/null
+++ b/lhpeer/keys_test.go
@@ -0,0 +1,162 @@
+package lhpeer
+
+import (
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhkey"
+)
+
+// keyFiles writes the files of a VM into a folder of its own.
+func keyFiles(t *testing.T, a *lhkey.Authority) lhkey.Files {
+	t.Helper()
+	dir := t.TempDir()
+	authority, err := a.Pair()
+	assert.NilError(t, err)
+	assert.NilError(t, authority.Save(dir, lhkey.AuthorityName))
+	files := lhkey.FilesIn(dir, "vm")
+	reissue(t, a, files)
+	return files
+}
+
+func newAuthority(t *testing.T) *lhkey.Authority {
+	t.Helper()
+	a, err := lhkey.NewAuthority("hokkaido", time.Now())
+	assert.NilError(t, err)
+	return a
+}
+
+func openRing(t *testing.T, files lhkey.Files) *lhkey.Ring {
+	t.Helper()
+	ring, err := lhkey.Open(files, "hokkaido", zerolog.Nop())
+	assert.NilError(t, err)
+	return ring
+}
+
+// TestStrangersDoNotJoin has nodes with other keys, or none, try to join a group.
+func TestStrangersDoNotJoin(t *testing.T) {
+	a := newAuthority(t)
+	withKeys := func(ring *lhkey.Ring) Settings {
+		return Settings{Self: lhflow.Member{DataCentre: "ebetsu"}, Keys: ring}
+	}
+	cases := []struct {
+		name            string
+		group, stranger *lhkey.Ring
+	}{
+		{"other authority", openRing(t, keyFiles(t, a)), openRing(t, keyFiles(t, newAuthority(t)))},
+		{"cleartext to TLS", openRing(t, keyFiles(t, a)), nil},
+		{"TLS to cleartext", nil, openRing(t, keyFiles(t, a))},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			nodes := startGroup(t, 2, func(int) Settings { return withKeys(c.group) })
+			s := withKeys(c.stranger)
+			s.Contacts = []netip.AddrPort{nodes[0].settings.Self.Control, nodes[1].settings.Self.Control}
+			stranger := startNode(t, s)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if stranger.Counters().Failures < 5 {
+					return poll.Continue("%d failures", stranger.Counters().Failures)
+				}
+				return poll.Success()
+			}, poll.WithTimeout(20*time.Second))
+			assert.Equal(t, len(stranger.View().Members), 1)
+			for _, n := range nodes {
+				assert.Equal(t, len(n.View().Members), 2)
+			}
+		})
+	}
+}
+
+// TestRotation replaces all keys of a group while exchanges go on: first the VMs'
+// own, then the authority.
+func TestRotation(t *testing.T) {
+	a := newAuthority(t)
+	var files []lhkey.Files
+	var rings []*lhkey.Ring
+	for range 3 {
+		files = append(files, keyFiles(t, a))
+		rings = append(rings, openRing(t, files[len(files)-1]))
+	}
+	nodes := startGroup(t, 3, func(i int) Settings {
+		return Settings{Self: lhflow.Member{DataCentre: "ebetsu"}, Keys: rings[i]}
+	})
+	b := newAuthority(t)
+	oldCA, err := a.Pair()
+	assert.NilError(t, err)
+	newCA, err := b.Pair()
+	assert.NilError(t, err)
+	both := append(append([]byte(nil), oldCA.Certificate...), newCA.Certificate...)
+	steps := []struct {
+		name   string
+		change func(f lhkey.Files)
+	}{
+		{"own keys", func(f lhkey.Files) { reissue(t, a, f) }},
+		{"both authorities", func(f lhkey.Files) { assert.NilError(t, os.WriteFile(f.CA, both, 0o600)) }},
+		{"keys of the new one", func(f lhkey.Files) { reissue(t, b, f) }},
+		{"new authority alone", func(f lhkey.Files) { assert.NilError(t, os.WriteFile(f.CA, newCA.Certificate, 0o600)) }},
+	}
+	for _, s := range steps {
+		t.Run(s.name, func(t *testing.T) {
+			var before []uint64
+			for _, r := range rings {
+				before = append(before, r.Generation())
+			}
+			for _, f := range files {
+				s.change(f)
+			}
+			for i, n := range nodes {
+				awaitPings(t, n)
+				assert.Assert(t, rings[i].Generation() > before[i])
+			}
+			waitActive(t, nodes, 3)
+		})
+	}
+	for _, n := range nodes {
+		assert.Equal(t, n.Counters().Unreachable, uint64(0))
+	}
+}
+
+// TestOpenConnectionLosesTrust gives one of two nodes another authority. The other
+// one is refused although its connection is open.
+func TestOpenConnectionLosesTrust(t *testing.T) {
+	a, b := newAuthority(t), newAuthority(t)
+	files := []lhkey.Files{keyFiles(t, a), keyFiles(t, a)}
+	nodes := startGroup(t, 2, func(i int) Settings {
+		return Settings{Self: lhflow.Member{DataCentre: "ebetsu"}, Keys: openRing(t, files[i])}
+	})
+	pair, err := b.Pair()
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(files[0].CA, pair.Certificate, 0o600))
+	reissue(t, b, files[0])
+	for i := range nodes {
+		waitActive(t, nodes[i:i+1], 1)
+	}
+}
+
+// reissue writes new keys of a VM.
+func reissue(t *testing.T, a *lhkey.Authority, f lhkey.Files) {
+	t.Helper()
+	pair, err := a.Issue(lhkey.VM{Group: "hokkaido", Name: "vm"}, time.Now())
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(f.Key, pair.Key, 0o600))
+	assert.NilError(t, os.WriteFile(f.Certificate, pair.Certificate, 0o600))
+}
+
+// awaitPings waits until a node has exchanged messages for a while.
+func awaitPings(t *testing.T, n running) {
+	t.Helper()
+	before := n.Counters().Pings
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if now := n.Counters().Pings; now < before+6 {
+			return poll.Continue("%d pings", now-before)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/lhpeer/node.go
+++ b/lhpeer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhkey"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer/lhpeerv1"
 )
 
@@ -63,6 +65,9 @@
 	Clock func() time.Duration
 	// Dial opens connections to peers; nil is the system's way.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Keys prove to peers that this VM belongs to the group, and let it ask the
+	// same of them; nil is cleartext, in which anyone may take part.
+	Keys *lhkey.Ring
 	Log  zerolog.Logger
 }
 
@@ -111,7 +116,7 @@
 	return &Node{
 		settings:  s,
 		budget:    b,
-		transport: newTransport(b, s.Dial),
+		transport: newTransport(b, s.Keys, s.Dial),
 		wake:      make(chan struct{}, 1),
 		ends:      make(chan end),
 		member:    &Membership{},
@@ -148,7 +153,7 @@
 	server := n.server()
 	served := make(chan error, 1)
 	go func() {
-		served <- server.Serve(&countedListener{Listener: listener, budget: n.budget})
+		served <- server.Serve(n.secure(&countedListener{Listener: listener, budget: n.budget}))
 		cancel()
 	}()
 	n.loop(ctx)
@@ -165,15 +170,28 @@
 	return nil
 }
 
+// secure returns a listener that lets in VMs of the group only, if there are keys.
+func (n *Node) secure(listener net.Listener) net.Listener {
+	if n.settings.Keys == nil {
+		return listener
+	}
+	return tls.NewListener(listener, n.settings.Keys.Server())
+}
+
 func (n *Node) server() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(lhpeerv1.NewPeerServiceHandler(&handler{node: n}, connect.WithCompression("gzip", nil, nil)))
-	return &http.Server{
+	server := &http.Server{
 		Handler:           mux,
-		Protocols:         cleartextHTTP2(),
+		Protocols:         protocols(n.settings.Keys),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 	}
+	if n.settings.Keys != nil {
+		server.Handler = authenticated(n.settings.Keys, mux)
+		server.ErrorLog = n.settings.Keys.ErrorLog()
+	}
+	return server
 }
 
 // join begins to take part under a new ID that is higher than after.
--- a/lhpeer/transport.go
+++ b/lhpeer/transport.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/laburnumhollow/laburnumhollow/lhkey"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer/lhpeerv1"
 )
 
@@ -18,39 +19,51 @@
 	idleTimeout = 30 * time.Second
 	// dialTimeout limits the opening of a connection.
 	dialTimeout = time.Second
+	// handshakeTimeout limits the TLS handshake on a connection.
+	handshakeTimeout = 2 * time.Second
 )
 
 // transport holds the connections of a VM to its peers.
 type transport struct {
 	budget *budget
-	http   *http.Transport
+	// keys is nil where peers speak in cleartext.
+	keys *lhkey.Ring
+	http *http.Transport
 	// dialPeer opens a connection.
 	dialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu sync.Mutex
 	// conns holds the open connections by the address of the peer.
 	conns map[string]map[net.Conn]struct{}
+	// generation is that of the keys when clients were last made.
+	generation uint64
 }
 
-// cleartextHTTP2 returns the one protocol that peers speak.
-func cleartextHTTP2() *http.Protocols {
+// protocols returns the one protocol that peers speak.
+func protocols(keys *lhkey.Ring) *http.Protocols {
 	p := new(http.Protocols)
-	p.SetUnencryptedHTTP2(true)
+	if keys == nil {
+		p.SetUnencryptedHTTP2(true)
+	} else {
+		p.SetHTTP2(true)
+	}
 	return p
 }
 
-func newTransport(b *budget, dial func(context.Context, string, string) (net.Conn, error)) *transport {
+func newTransport(b *budget, keys *lhkey.Ring, dial func(context.Context, string, string) (net.Conn, error)) *transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	t := &transport{
 		budget:   b,
+		keys:     keys,
 		dialPeer: dial,
 		conns:    make(map[string]map[net.Conn]struct{}),
 	}
 	t.http = &http.Transport{
 		DialContext:     t.dial,
-		Protocols:       cleartextHTTP2(),
+		DialTLSContext:  t.dialTLS,
+		Protocols:       protocols(keys),
 		IdleConnTimeout: idleTimeout,
 	}
 	return t
@@ -58,13 +71,30 @@
 
 // client returns a client of the peer at a control address.
 func (t *transport) client(control netip.AddrPort) lhpeerv1.PeerServiceClient {
+	scheme := "http://"
+	if t.keys != nil {
+		scheme = "https://"
+		t.renew()
+	}
 	return lhpeerv1.NewPeerServiceClient(
 		&http.Client{Transport: t.http},
-		"http://"+control.String(),
+		scheme+control.String(),
 		connect.WithAcceptCompression("gzip", nil, nil),
 	)
 }
 
+// renew closes the idle connections that were opened with earlier keys.
+func (t *transport) renew() {
+	generation := t.keys.Generation()
+	t.mu.Lock()
+	changed := generation != t.generation
+	t.generation = generation
+	t.mu.Unlock()
+	if changed {
+		t.http.CloseIdleConnections()
+	}
+}
+
 // dial opens a connection that is counted and can be dropped.
 func (t *transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := t.dialPeer(ctx, network, address)
@@ -81,6 +111,21 @@
 	return tracked, nil
 }
 
+// dialTLS opens a connection to a peer that proves that it belongs to the group.
+func (t *transport) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := t.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secure, err := t.keys.Handshake(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return secure, nil
+}
+
 // drop closes the connections to a peer that did not answer. After a cut a new
 // connection works at once, where the old one waits for its retransmission timer.
 func (t *transport) drop(control netip.AddrPort) {
