lhconf: read the section [tls] with the files of a VM's keys

The entry process has to know its keys. All files or none are named; a section with some of them is refused with the missing key. Paths count from the folder of the settings file, because the files lie beside it and the working folder of a service is seldom known to its operators.

--- a/lhconf/settings.go
+++ b/lhconf/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -37,6 +38,8 @@
 	Peers []netip.AddrPort
 	// Platform is the URL of the platform's key-value service.
 	Platform string
+	// TLS names the keys that peers know each other by; its zero value is cleartext.
+	TLS TLS
 
 	// Flows is how many flows the table holds at most.
 	Flows int
@@ -123,12 +126,13 @@
 		}
 	}
 	if len(problems) == 0 {
-		problems = settings.validate(name, sections)
+		problems = append(settings.validate(name, sections), settings.TLS.validate(name, sections)...)
 	}
 	if len(problems) > 0 {
 		problems.sort()
 		return Settings{}, problems.Err()
 	}
+	settings.TLS = settings.TLS.within(filepath.Dir(name))
 	return settings, nil
 }
 
@@ -196,6 +200,12 @@
 	{"platform", []field[Settings]{
 		urlField("url", func(s *Settings) *string { return &s.Platform }).must(),
 	}},
+	{tlsSection, []field[Settings]{
+		pathField("ca", func(s *Settings) *string { return &s.TLS.CA }),
+		pathField("certificate", func(s *Settings) *string { return &s.TLS.Certificate }),
+		pathField("key", func(s *Settings) *string { return &s.TLS.Key }),
+		choiceField("ops", []string{"off", "on"}, []bool{false, true}, func(s *Settings) *bool { return &s.TLS.Operators }),
+	}},
 	{"limits", []field[Settings]{
 		numberField("flows", 1000, 4_000_000, func(s *Settings) *int { return &s.Flows }),
 		rateField("control", 500, 10_000_000, func(s *Settings) *int { return &s.ControlRate }),
--- a/lhconf/settings_test.go
+++ b/lhconf/settings_test.go
@@ -33,7 +33,7 @@
 `
 
 func TestParseSettings(t *testing.T) {
-	s, err := ParseSettings("vm.ini", []byte(plainSettings+`
+	s, err := ParseSettings("/etc/lh/vm.ini", []byte(plainSettings+`
 [peers]
 contact = 10.0.0.11:7001, 10.0.0.12:7001
 [limits]
@@ -42,6 +42,11 @@
 stop = 1m
 [log]
 level = warn
+[tls]
+ca = keys/ca.pem
+certificate = /keys/vm.pem
+key = vm-key.pem
+ops = on
 `))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Name, "sapporo-a-1")
@@ -54,6 +59,7 @@
 	assert.Equal(t, s.Lease, DefaultLease)
 	assert.Equal(t, s.Flows, DefaultFlows)
 	assert.Equal(t, s.LogLevel.String(), "warn")
+	assert.Equal(t, s.TLS, TLS{CA: "/etc/lh/keys/ca.pem", Certificate: "/keys/vm.pem", Key: "/etc/lh/vm-key.pem", Operators: true})
 }
 
 func TestParseSettingsProblems(t *testing.T) {
@@ -86,6 +92,8 @@
 		{"set twice", "group = hokkaido", "group = hokkaido\ngroup = other", 6, "vm.group", lhcode.DeclaredTwice},
 		{"no key and value", "group = hokkaido", "group = hokkaido\nhonshu", 6, "line", lhcode.SettingInvalid},
 		{"empty value", "group = hokkaido", "group =", 5, "vm.group", lhcode.SettingInvalid},
+		{"key without certificate", "", "[tls]\nca = a\nkey = b\n", added, "tls.certificate", lhcode.SettingMissing},
+		{"operators without keys", "", "[tls]\nops = on\n", added, "tls.key", lhcode.SettingMissing},
 		{"suspect under two heartbeats", "", "[times]\nheartbeat = 3s\n", added + 1, "times.suspect", lhcode.SettingRange},
 	}
 	for _, c := range cases {
