--- a/lhpeer/node.go
+++ b/lhpeer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhkey"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer/lhpeerv1"
 )
 
@@ -64,6 +66,9 @@
 	Clock func() time.Duration
 	// Dial opens connections to peers; nil is the system's way.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Keys prove to peers that this VM belongs to the group, and let it ask the
+	// same of them; nil is cleartext, in which anyone may take part.
+	Keys *lhkey.Ring
 	Log  zerolog.Logger
 }
 
@@ -112,7 +117,7 @@
 	return &Node{
 		settings:  s,
 		budget:    b,
-		transport: newTransport(b, s.Dial),
+		transport: newTransport(b, s.Keys, s.Dial),
 		wake:      make(chan struct{}, 1),
 		ends:      make(chan end),
 		member:    &Membership{},
@@ -146,7 +151,7 @@
 	server := n.server()
 	served := make(chan error, 1)
 	go func() {
-		served <- server.Serve(&countedListener{Listener: listener, budget: n.budget})
+		served <- server.Serve(n.secure(&countedListener{Listener: listener, budget: n.budget}))
 		cancel()
 	}()
 	n.loop(ctx)
@@ -163,6 +168,14 @@
 	return nil
 }
 
+// secure returns a listener that lets in VMs of the group only, if there are keys.
+func (n *Node) secure(listener net.Listener) net.Listener {
+	if n.settings.Keys == nil {
+		return listener
+	}
+	return tls.NewListener(listener, n.settings.Keys.Server())
+}
+
 func (n *Node) server() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(lhpeerv1.NewPeerServiceHandler(
@@ -170,12 +183,17 @@
 		connect.WithCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessage),
 	))
-	return &http.Server{
+	server := &http.Server{
 		Handler:           mux,
-		Protocols:         cleartextHTTP2(),
+		Protocols:         protocols(n.settings.Keys),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 	}
+	if n.settings.Keys != nil {
+		server.Handler = authenticated(n.settings.Keys, mux)
+		server.ErrorLog = n.settings.Keys.ErrorLog()
+	}
+	return server
 }
 
 // join begins to take part.
