--- a/lhpeer/advance.go
+++ b/lhpeer/advance.go
@@ -15,6 +15,10 @@
 
 // ready reports whether a joining member may own flows.
 func (m *Membership) ready(now time.Duration) bool {
+	if m.revision.Number == 0 && m.highest > 0 {
+		// Without the configuration that others have it could serve no flow.
+		return false
+	}
 	owners, present := 0, 0
 	for _, p := range m.peers {
 		if p.owner() {
--- a/lhpeer/gossip.go
+++ b/lhpeer/gossip.go
@@ -258,6 +258,7 @@
 
 // take takes in a message that another member has sent or answered.
 func (m *Membership) take(now time.Duration, msg Message) {
+	m.highest = max(m.highest, msg.Revision.Number)
 	if msg.From == m.self.ID {
 		return
 	}
--- a/lhpeer/membership.go
+++ b/lhpeer/membership.go
@@ -25,7 +25,9 @@
 	news news
 	// revision is the highest that this VM has had in force.
 	revision Revision
-	counts   Counts
+	// highest is the highest revision that any member has spoken of.
+	highest uint64
+	counts  Counts
 
 	// started is when the member began to join.
 	started  time.Duration
