lhentry: ask backend servers for their load reports

Cause: `report` was declared and checked, and lhwork weighs reports, but no VM asked for any. Ruled out: 20 calls a second for each VM. A call takes 212 bytes in both directions (1000 calls on one kept connection, without IP and TCP headers), so 20 would take 4.2 KB/s, more than all of a VM's control traffic may. Change: four calls a second (850 B/s), each server once a second at most, the longest unasked first, where time counts double in the VM's own data centre. Today's 18 servers have a report within lhwork's 5 s. Failures and contradictions are counted.

--- a/cmd/laburnumhollow/load.go
+++ b/cmd/laburnumhollow/load.go
@@ -97,6 +97,7 @@
 	flags.IntVar(&l.Servers, "servers", loadServers, "backend servers of each service")
 	flags.IntVar(&l.Slots, "slots", loadSlots, "requests that a server carries out at a time")
 	flags.DurationVar(&l.Work, "work", loadWork, "time that a request takes in its slot")
+	flags.StringVar((*string)(&l.Reports), "reports", "", "what servers report of their load: true, frozen, zero, inverted or down; empty for nothing")
 	flags.Uint64Var(&l.Seed, "seed", 1, "order in which packets are sprayed and faults happen")
 	flags.Float64Var(&x.Faults.Loss, "loss", 0, "part of the packets that are lost, from 0 to 1")
 	flags.Float64Var(&x.Faults.Duplicate, "duplicates", 0, "part of the packets that come twice, from 0 to 1")
--- a/cmd/laburnumhollow/load_test.go
+++ b/cmd/laburnumhollow/load_test.go
@@ -30,6 +30,7 @@
 		{"--flood-pattern", "storm"},
 		{"--at", "soon"},
 		{"--loss", "2"},
+		{"--reports", "late"},
 		{"--report", "report.pdf"},
 		{"--flows", "1000000"},
 	}
--- a/lhdemo/demo.go
+++ b/lhdemo/demo.go
@@ -255,4 +255,7 @@
 	fmt.Fprintf(w, "packets received by the VMs\t%d\n", t.Received)
 	fmt.Fprintf(w, "extra hops of a packet\t%.3f\n", t.Hops())
 	fmt.Fprintf(w, "control traffic of all VMs\t%d bytes\n", t.Control)
+	if t.Reports > 0 {
+		fmt.Fprintf(w, "load reports\t%d, without an answer %d, contradicted %d\n", t.Reports, t.Failures, t.Contradictions)
+	}
 }
--- a/lhdemo/experiment_test.go
+++ b/lhdemo/experiment_test.go
@@ -154,3 +154,21 @@
 	assert.Equal(t, r.Flows[0].Whole, 20)
 	assert.Assert(t, r.Events[0].Fault != "")
 }
+
+// TestReportsThatMislead floods a service whose servers say nothing true of their
+// load. The other kind goes on all the same.
+func TestReportsThatMislead(t *testing.T) {
+	for _, reports := range []Reports{ReportsZero, ReportsFrozen, ReportsInverted, ReportsDown} {
+		t.Run(string(reports), func(t *testing.T) {
+			x := small()
+			x.Layout.Services, x.Layout.Work, x.Layout.Reports = 1, 20*time.Millisecond, reports
+			x.Flows, x.Rate, x.Span = 120, 80, 1500*time.Millisecond
+			x.Flood = Flood{Factor: 10}
+			r, err := x.Run(t.Context())
+			assert.NilError(t, err)
+			assert.Assert(t, r.Kept.Part >= 0.95, "%+v", r.Kept)
+			assert.Assert(t, r.Traffic.Reports > 0)
+			assert.Equal(t, r.Traffic.Failures > 0, reports == ReportsDown)
+		})
+	}
+}
--- a/lhdemo/fleet.go
+++ b/lhdemo/fleet.go
@@ -44,6 +44,8 @@
 	lhstand.BackendServer
 	dataCentre string
 	draining   bool
+	// report is the URL of the load report; empty for none.
+	report string
 }
 
 // Start starts stand-ins and VMs and returns when all VMs serve. Close must be
@@ -99,9 +101,20 @@
 	if err := s.Start(f.ctx, address); err != nil {
 		return err
 	}
-	s.Set(func(b *lhstand.Behavior) { b.Work = f.layout.Work })
 	f.servers = append(f.servers, s)
-	return nil
+	return f.setBehavior(s)
+}
+
+// setBehavior sets how long a server works and what it reports of its load.
+func (f *Fleet) setBehavior(s *server) error {
+	mode, reports := f.layout.Reports.mode()
+	s.Set(func(b *lhstand.Behavior) { b.Work, b.Report = f.layout.Work, mode })
+	if !reports {
+		return nil
+	}
+	var err error
+	s.report, err = s.StartReport(f.ctx)
+	return err
 }
 
 // Close ends all VMs and stand-ins at once and returns the first error of each.
--- a/lhdemo/folder.go
+++ b/lhdemo/folder.go
@@ -44,6 +44,10 @@
 	if s.draining {
 		state = "draining"
 	}
-	return fmt.Sprintf("[server %s]\nservice = %s\naddress = %v\ndatacentre = %s\nslots = %d\nflows = %d\nstate = %s\n",
+	text := fmt.Sprintf("[server %s]\nservice = %s\naddress = %v\ndatacentre = %s\nslots = %d\nflows = %d\nstate = %s\n",
 		s.Name, s.Service, s.Address(), s.dataCentre, f.layout.Slots, serverFlows, state)
+	if s.report != "" {
+		text += fmt.Sprintf("report = %s\n", s.report)
+	}
+	return text
 }
--- a/lhdemo/layout.go
+++ b/lhdemo/layout.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhstand"
 )
 
 // Bounds of a layout: a fleet on one machine stays small.
@@ -36,6 +37,8 @@
 	Slots int
 	// Work is how long a request takes in its slot.
 	Work time.Duration
+	// Reports says what the servers report of their load.
+	Reports Reports
 	// Kinds is what the services' flows are told apart by; each kind belongs to
 	// every service. It may be empty.
 	Kinds []Kind
@@ -43,6 +46,32 @@
 	Seed uint64
 }
 
+// Reports is what backend servers report of their load. The zero Reports is none.
+type Reports string
+
+// The known Reports.
+const (
+	ReportsNone     Reports = ""
+	ReportsTrue     Reports = "true"
+	ReportsFrozen   Reports = "frozen"
+	ReportsZero     Reports = "zero"
+	ReportsInverted Reports = "inverted"
+	ReportsDown     Reports = "down"
+)
+
+// mode returns what a stand-in is told; false where it reports nothing.
+func (r Reports) mode() (mode lhstand.ReportMode, ok bool) {
+	modes := map[Reports]lhstand.ReportMode{
+		ReportsTrue:     lhstand.ReportTrue,
+		ReportsFrozen:   lhstand.ReportFrozen,
+		ReportsZero:     lhstand.ReportZero,
+		ReportsInverted: lhstand.ReportInverted,
+		ReportsDown:     lhstand.ReportDown,
+	}
+	mode, ok = modes[r]
+	return mode, ok
+}
+
 // Kind is a kind of work, told apart by the addresses of its callers.
 type Kind struct {
 	Name    string
@@ -68,6 +97,9 @@
 			return lhcode.Newf(lhcode.Usage, "%d %s; 1 to %d are allowed", b.value, b.what, b.max)
 		}
 	}
+	if _, ok := l.Reports.mode(); !ok && l.Reports != ReportsNone {
+		return lhcode.Newf(lhcode.Usage, "reports %q are none of true, frozen, zero, inverted, down", l.Reports)
+	}
 	return nil
 }
 
--- a/lhdemo/tally.go
+++ b/lhdemo/tally.go
@@ -65,6 +65,11 @@
 	// Control is what the VMs have sent each other that is no packet of a flow, in
 	// bytes.
 	Control uint64 `json:"control"`
+	// Reports counts calls for load reports, Failures those without an answer, and
+	// Contradictions the reports that contradict what was seen.
+	Reports        uint64 `json:"reports"`
+	Failures       uint64 `json:"failures"`
+	Contradictions uint64 `json:"contradictions"`
 }
 
 // traffic adds up the counters of all VMs, also of those that have stopped.
@@ -75,6 +80,9 @@
 		t.Received += c["packets_received"] - c["packets_from_peer"]
 		t.Passed += c["packets_to_peer"]
 		t.Control += c["control_bytes_out"]
+		t.Reports += c["report_calls"]
+		t.Failures += c["report_failures"]
+		t.Contradictions += c["report_contradictions"]
 	}
 	return t
 }
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -49,6 +49,7 @@
 	runner  *lhstore.Runner
 	store   *lhstore.Client
 	workers []*forwarder
+	reports reports
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
 }
@@ -86,6 +87,7 @@
 	e.node = lhpeer.NewNode(e.nodeSettings())
 	e.node.OnView(e.setView)
 	e.addWorkers()
+	e.reports.client = newReportClient()
 	return e, nil
 }
 
@@ -228,6 +230,7 @@
 		e.serveOps,
 		e.handOver,
 		e.housekeep,
+		e.askReports,
 	}
 	for _, w := range e.workers {
 		parts = append(parts, w.run)
--- a/lhentry/state.go
+++ b/lhentry/state.go
@@ -49,7 +49,7 @@
 			Limit: uint64(e.settings.Flows),
 			Bytes: uint64(e.engine.Len()) * lhflow.RecordBytes,
 		},
-		Counters: e.counters(),
+		Counters: e.counters(snap),
 	}
 }
 
@@ -135,7 +135,7 @@
 }
 
 // counters returns all counters by name.
-func (e *Entry) counters() map[string]uint64 {
+func (e *Entry) counters(snap lhwork.Snapshot) map[string]uint64 {
 	sums := make(map[string]uint64)
 	for _, w := range e.workers {
 		w.addTo(sums)
@@ -153,9 +153,23 @@
 	sums["peer_rejoins"] = c.Rejoins
 	sums["view_changes"] = c.Views
 	sums["pauses"] = e.engine.Pauses()
+	sums["report_calls"] = e.reports.calls.Load()
+	sums["report_failures"] = e.reports.failures.Load()
+	sums["report_contradictions"] = contradictions(snap)
 	s := e.runner.State()
 	sums["store_failures"] = s.Counts.Failed
 	sums["store_lower"] = s.Counts.Lower
 	sums["store_parted"] = s.Counts.Parted
 	return sums
 }
+
+// contradictions adds up the load reports that contradict what was seen.
+func contradictions(snap lhwork.Snapshot) uint64 {
+	var sum uint64
+	for _, service := range snap.Services {
+		for _, server := range service.Servers {
+			sum += server.Disagreed
+		}
+	}
+	return sum
+}
