lhflow: end half-open flows by the server's patience, and answer closed ports

Causes, each found by a test that failed first. It got UDP flows as open and answered for them without the first owner, which then counted them as in work for ever and refused the tenth caller on an idle fleet (TestOtherProtocols). A SYN to a service that nobody has declared vanished. Change: the copy is left with the caller's completion and again with the server's first answer, instead of with the answer to the SYN; half-open flows last as long as admission says; a UDP flow is open once its server has answered; an unknown service is refused at once.

--- a/cmd/laburnumhollow/path_test.go
+++ b/cmd/laburnumhollow/path_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/laburnumhollow/laburnumhollow/lhops"
 	"github.com/laburnumhollow/laburnumhollow/lhstand"
 )
 
@@ -28,3 +31,60 @@
 	}
 	f.assertRunOnce()
 }
+
+// TestOtherProtocols opens flows over IPv6 and exchanges datagrams, by services
+// that are added while the fleet runs.
+func TestOtherProtocols(t *testing.T) {
+	f := newFleet(t, "sapporo-a", "ebetsu")
+	caller6 := netip.MustParseAddrPort("[2001:db8::7]:40000")
+	sheets, clock := netip.MustParseAddrPort("[2001:db8:1::1]:80"), netip.MustParseAddrPort("10.9.0.3:123")
+	f.write("11-services.ini", fmt.Sprintf(
+		"[service sheets]\naddress = %v\nproto = tcp\n\n[service clock]\naddress = %v\nproto = udp\n", sheets, clock))
+	f.addServer(t.Context(), "sheets", 7, "ebetsu")
+	f.addServer(t.Context(), "clock", 8, "sapporo-a")
+	f.apply()
+	f.awaitRevision(2)
+	f.route(f.vms...)
+
+	c, err := f.fabric.Dial(t.Context(), caller6, sheets)
+	assert.NilError(t, err)
+	f.ask(c, "sheet-1", "sheets")
+	assert.NilError(t, c.Close())
+	assert.Equal(t, c.Wait(), lhstand.Whole)
+	for i := range 10 {
+		caller := netip.AddrPortFrom(netip.MustParseAddr("192.0.2.9"), uint16(50000+i))
+		answer, err := f.fabric.Ask(t.Context(), caller, clock, []byte("now?"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(answer), "clock clock-8 now?\n")
+	}
+	_, err = f.open("10.9.0.9:80")
+	assert.ErrorIs(t, err, lhstand.Refused, "a service that nobody has declared")
+}
+
+// TestLossyNetwork loses, repeats and reorders packets between fabric, VMs and
+// backend servers. Every answer is whole and in order, and no request runs twice.
+func TestLossyNetwork(t *testing.T) {
+	f := newFleet(t, "sapporo-a", "sapporo-b", "ebetsu")
+	faults := lhstand.Faults{Loss: 0.02, Duplicate: 0.05, Reorder: 0.1}
+	f.fabric.SetFaults(faults)
+	for _, s := range f.servers {
+		s.SetFaults(faults)
+	}
+	for i := range 30 {
+		c := f.dial(cutdesk)
+		f.ask(c, fmt.Sprint("lossy-", i), "cutdesk")
+	}
+	f.assertRunOnce()
+}
+
+// TestSecondSignal ends a planned stop at once.
+func TestSecondSignal(t *testing.T) {
+	f := newFleet(t, "sapporo-a", "ebetsu")
+	p := f.vms[0]
+	f.openFeed("feed")
+	f.signal(p, syscall.SIGTERM)
+	// Packets go on arriving, so the VM goes on forwarding until its bound.
+	f.awaitDump(p, "leaving", func(d lhops.Dump) bool { return d.Health.State == lhops.Leaving })
+	f.signal(p, syscall.SIGTERM)
+	assert.NilError(t, f.awaitEnd(p))
+}
--- a/lhentry/counters.go
+++ b/lhentry/counters.go
@@ -37,7 +37,7 @@
 
 var reasonNames = [lhflow.ReasonCount]string{
 	"none", "no_service", "no_server", "refused", "server_gone", "unknown_flow",
-	"late_answer", "cut_off", "hops", "reuse", "full", "silent",
+	"late_answer", "cut_off", "hops", "reuse", "full", "silent", "no_config",
 }
 
 // counters are the counters of one worker, so that workers share no cache line.
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -14,6 +14,8 @@
 const (
 	// tick is the time between two rounds of housekeeping and hand-over.
 	tick = 100 * time.Millisecond
+	// expireParts is how many parts of the flow table are looked through in each tick.
+	expireParts = 8
 	// batchSize is how many records are taken for hand-over at a time.
 	batchSize = 64
 	// missingLimit is how long a member that can't be reached is waited for before
@@ -154,7 +156,8 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	listed := e.now() - listInterval
-	for part := 0; ; part++ {
+	part := 0
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -162,7 +165,10 @@
 		}
 		now := e.now()
 		e.engine.Beat(now)
-		e.engine.Expire(now, part)
+		for range expireParts {
+			e.engine.Expire(now, part)
+			part++
+		}
 		for _, a := range e.node.Unreachable() {
 			if now-a.Since < missingLimit {
 				e.engine.Missing(now)
--- a/lhentry/place.go
+++ b/lhentry/place.go
@@ -14,6 +14,9 @@
 // Place implements lhflow.Placer. A flow that is placed again after its first
 // server stayed silent was admitted before.
 func (p placer) Place(now time.Duration, id lhflow.ID, key lhflow.Key, tried uint32) lhflow.Placement {
+	if p.entry.table.Load().Revision() == 0 {
+		return lhflow.Placement{Reason: lhflow.ReasonNoConfig}
+	}
 	work := &p.entry.work
 	var d lhwork.Decision
 	if tried == 0 {
@@ -73,6 +76,17 @@
 // Retry implements lhflow.Placer.
 func (p placer) Retry(key lhflow.Key) bool { return p.entry.work.Retry(key) }
 
+// Patience implements lhflow.Placer.
+func (p placer) Patience(now time.Duration, number uint32) time.Duration {
+	s, ok := p.server(number)
+	if !ok {
+		return lhwork.HandshakeLongest
+	}
+	service := s.Service()
+	key := lhflow.NewKey(service.Proto(), service.Address(), service.Address())
+	return p.entry.work.HandshakeTimeout(now, key)
+}
+
 // Report implements lhflow.Placer.
 func (p placer) Report(now time.Duration, r lhflow.Report) {
 	work := &p.entry.work
--- a/lhflow/bench_test.go
+++ b/lhflow/bench_test.go
@@ -51,6 +51,7 @@
 func (benchPlacer) Declared(uint32) bool                           { return true }
 func (benchPlacer) Accepts(uint32) bool                            { return true }
 func (benchPlacer) Retry(Key) bool                                 { return true }
+func (benchPlacer) Patience(time.Duration, uint32) time.Duration   { return halfOpenLife }
 func (benchPlacer) Report(time.Duration, Report)                   {}
 
 func BenchmarkKnownFlow(b *testing.B) {
--- a/lhflow/engine.go
+++ b/lhflow/engine.go
@@ -46,7 +46,8 @@
 )
 
 const (
-	// halfOpenLife is how long a flow whose server never answered is kept.
+	// halfOpenLife is how long the second owner keeps a flow whose handshake it has
+	// not seen completed.
 	halfOpenLife = 30 * time.Second
 	// closingLife is how long a flow is kept that one end has closed.
 	closingLife = 10 * time.Minute
--- a/lhflow/engine_test.go
+++ b/lhflow/engine_test.go
@@ -246,3 +246,37 @@
 		assert.Equal(t, g.fromCaller(vm, ACK, 90_001, 10).server, 3-server)
 	}
 }
+
+// TestHalfOpenFlow lets a caller never complete its handshake. The first owner
+// forgets the flow when the server's patience ends, the second some time later;
+// in between a late caller is still known.
+func TestHalfOpenFlow(t *testing.T) {
+	g := newGroup()
+	g.placers[g.first].patience = time.Second
+	expire := func() {
+		for part := range shardCount {
+			g.engine(g.first).Expire(g.now, part)
+			g.engine(g.second).Expire(g.now, part)
+		}
+	}
+	for _, late := range []bool{true, false} {
+		server := g.fromCaller(g.third, SYN, 7, 0).server
+		g.fromServer(g.third, server, SYN|ACK, 8, 0)
+		g.now += 2 * time.Second
+		expire()
+		assert.Equal(t, g.engine(g.first).Len(), 0)
+		assert.Equal(t, g.placers[g.first].flows[server], 0)
+		assert.Equal(t, g.engine(g.second).Len(), 1)
+		if late {
+			assert.Equal(t, g.fromCaller(g.third, ACK, 8, 10).server, server)
+			assert.Equal(t, g.engine(g.first).Len(), 1)
+			g.fromCaller(g.third, RST, 18, 0)
+			g.now += 2 * closedLife
+			expire()
+			continue
+		}
+		g.now += 2 * halfOpenLife
+		expire()
+		assert.Equal(t, g.engine(g.second).Len(), 0)
+	}
+}
--- a/lhflow/event.go
+++ b/lhflow/event.go
@@ -154,6 +154,8 @@
 	ReasonFull
 	// ReasonSilent is a flow whose server did not answer.
 	ReasonSilent
+	// ReasonNoConfig is a packet that came before any configuration.
+	ReasonNoConfig
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
--- a/lhflow/fleet_test.go
+++ b/lhflow/fleet_test.go
@@ -225,10 +225,11 @@
 
 // testPlacer places by rendezvous over the serving servers.
 type testPlacer struct {
-	serving []uint32
-	flows   map[uint32]int
-	refuse  bool
-	turns   [Ended + 1]int
+	serving  []uint32
+	flows    map[uint32]int
+	refuse   bool
+	patience time.Duration
+	turns    [Ended + 1]int
 }
 
 func (p *testPlacer) Place(_ time.Duration, id ID, _ Key, tried uint32) Placement {
@@ -256,6 +257,13 @@
 	return false
 }
 
+func (p *testPlacer) Patience(time.Duration, uint32) time.Duration {
+	if p.patience != 0 {
+		return p.patience
+	}
+	return halfOpenLife
+}
+
 func (p *testPlacer) Retry(Key) bool { return true }
 
 func (p *testPlacer) Report(_ time.Duration, r Report) {
--- a/lhflow/handover.go
+++ b/lhflow/handover.go
@@ -238,19 +238,19 @@
 // counts through the calls, each of which looks at one sixty-fourth.
 func (e *Engine) Expire(now time.Duration, part int) {
 	s := &e.table.shards[part%shardCount]
-	for _, old := range e.overdue(ticks(now), s) {
+	for _, old := range e.overdue(now, s) {
 		e.forget(now, old.id(), old.entry)
 	}
 }
 
 // overdue returns the records whose time is over or whose server is gone.
-func (e *Engine) overdue(now tick, s *shard) []slot {
+func (e *Engine) overdue(now time.Duration, s *shard) []slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []slot
 	s.each(func(id ID, en *entry) {
-		idle := int64(now.since(en.seen))
-		if idle > e.life(en).Milliseconds() || !e.placer.Declared(en.server) {
+		idle := int64(ticks(now).since(en.seen))
+		if idle > e.life(now, en).Milliseconds() || !e.placer.Declared(en.server) {
 			list = append(list, newSlot(id, *en))
 		}
 	})
@@ -258,13 +258,15 @@
 }
 
 // life returns how long the record is kept without a packet.
-func (e *Engine) life(en *entry) time.Duration {
+func (e *Engine) life(now time.Duration, en *entry) time.Duration {
 	switch {
 	case !en.has(owned):
 		return e.limits.Lease + learnedLife
 	case en.has(datagram):
 		return e.limits.IdleUDP
-	case en.state == Opening:
+	case en.state < Complete && en.has(counted):
+		return e.placer.Patience(now, en.server)
+	case en.state < Complete:
 		return halfOpenLife
 	case en.state == Closing:
 		return closingLife
--- a/lhflow/owner.go
+++ b/lhflow/owner.go
@@ -130,8 +130,10 @@
 }
 
 // needsCopy reports whether the packet is to pass the second owner: it opens or
-// ends the flow, its server has just answered, the second owner is another one
-// than last time, or its copy is old.
+// ends the flow, it completes the handshake, it is the server's first answer, the
+// second owner is another one than last time, or its copy is old. So a copy that a
+// lost packet should have left is left by the next; and a half-open flow of which
+// the caller never completes the handshake is short-lived at both owners.
 func needsCopy(ev *Event, before, after *entry, owners Owners) bool {
 	if owners.Second == 0 {
 		return false
@@ -139,7 +141,9 @@
 	if after.copied != short(owners.Second) || after.state == Opening {
 		return true
 	}
-	if ev.Flags&(FIN|RST) != 0 || before.state == Opening {
+	completes := before.state < Complete && after.state >= Complete
+	answers := !before.has(served) && after.has(served)
+	if ev.Flags&(FIN|RST) != 0 || completes || answers {
 		return true
 	}
 	return after.stale(ticks(ev.Now))
@@ -278,7 +282,8 @@
 		attempt: 1,
 	}
 	if ev.Key.Proto == UDP {
-		en.state = Open
+		// A datagram needs no handshake.
+		en.state = Complete
 		en.isn = 0
 		en.marks |= datagram
 	}
@@ -287,8 +292,12 @@
 
 // refuse refuses a new flow at both owners.
 func (e *Engine) refuse(ev *Event, view *View, r Reason) Verdict {
-	if r == ReasonNoService {
+	switch r {
+	case ReasonNoConfig:
 		return Verdict{Reason: r}
+	case ReasonNoService:
+		// Not remembered: the service may be declared the next moment.
+		return Verdict{Action: Refuse, Reason: r}
 	}
 	e.refused.add(ev.Now, ev.ID, ev.Seq)
 	next := e.next(view, ev.ID)
--- a/lhflow/placer.go
+++ b/lhflow/placer.go
@@ -17,6 +17,8 @@
 	Accepts(server uint32) bool
 	// Retry takes one from the retry budget; false when there is none left.
 	Retry(key Key) bool
+	// Patience returns how long a handshake with the server may take at present.
+	Patience(now time.Duration, server uint32) time.Duration
 	// Report says what became of a flow.
 	Report(now time.Duration, r Report)
 }
--- a/lhflow/record.go
+++ b/lhflow/record.go
@@ -11,9 +11,9 @@
 	Opening
 	// Accepted is a flow whose server has answered the SYN.
 	Accepted
-	// Complete is a flow whose caller has completed the handshake.
+	// Complete is a flow whose caller has completed the handshake, or a new UDP flow.
 	Complete
-	// Open is a flow whose server has answered after the handshake, or a UDP flow.
+	// Open is a flow whose server has answered after that.
 	Open
 	// Closing is a flow of which an end has sent FIN.
 	Closing
