--- a/lhpeer/membership.go
+++ b/lhpeer/membership.go
@@ -60,12 +60,6 @@
 	version uint64
 }
 
-// contact is an address at which a member may answer.
-type contact struct {
-	control  netip.AddrPort
-	answered bool
-}
-
 // Join returns the membership of a member that begins to join a group through
 // contacts, the control addresses of some of its members. Without any contact
 // it forms a group of its own.
@@ -112,17 +106,6 @@
 	return next
 }
 
-// Listed adds contacts, such as those in the platform's list of VMs. The list
-// lags: a member that it lacks stays, and one that it still holds is no member
-// for that.
-func (m *Membership) Listed(contacts []netip.AddrPort) {
-	for _, c := range contacts {
-		if c != m.self.Control && m.contact(c) == nil {
-			m.contacts = append(m.contacts, contact{control: c})
-		}
-	}
-}
-
 // Tick takes the decisions that are due at now and returns the requests to send.
 // It is to be called several times a period.
 func (m *Membership) Tick(now time.Duration) []Request {
@@ -264,10 +247,6 @@
 	m.burst = true
 }
 
-// View returns the group as this member sees it. The pointer changes only with
-// the content.
-func (m *Membership) View() *lhflow.View { return m.view }
-
 // Lost reports whether the others have gone on without this member, after a
 // pause or because they hold it dead. It has to join again under a new ID.
 func (m *Membership) Lost() bool { return m.lost }
@@ -275,25 +254,6 @@
 // Self returns this member's own entry.
 func (m *Membership) Self() Entry { return m.self }
 
-// Absence is a member that can't be reached but may come back.
-type Absence struct {
-	lhflow.Member
-	// Since is when it was first suspected.
-	Since time.Duration
-}
-
-// Unreachable returns the members that can't be reached, sorted by ID. Flows
-// whose owners are among them may still exist there.
-func (m *Membership) Unreachable() []Absence {
-	var absent []Absence
-	for _, p := range m.peers {
-		if p.unreachable && !p.final() {
-			absent = append(absent, Absence{Member: p.Member, Since: p.suspected})
-		}
-	}
-	return absent
-}
-
 // Counts returns what this member has counted since it joined.
 func (m *Membership) Counts() Counts { return m.counts }
 
@@ -314,27 +274,6 @@
 	m.refresh()
 }
 
-// refresh builds a new view if the members or their states have changed.
-func (m *Membership) refresh() {
-	if !m.dirty {
-		return
-	}
-	m.dirty = false
-	members := []lhflow.Member{m.self.Member}
-	for _, p := range m.peers {
-		if p.present() {
-			members = append(members, p.Member)
-		}
-	}
-	next := lhflow.NewView(m.version+1, m.self.ID, members)
-	if m.view != nil && sameMembers(m.view.Members, next.Members) {
-		return
-	}
-	m.version++
-	m.view = next
-	m.counts.Views++
-}
-
 // find returns the peer with the given ID, nil where there is none.
 func (m *Membership) find(id lhflow.MemberID) *peer {
 	i := m.search(id)
@@ -348,24 +287,3 @@
 func (m *Membership) search(id lhflow.MemberID) int {
 	return sort.Search(len(m.peers), func(i int) bool { return m.peers[i].ID >= id })
 }
-
-func (m *Membership) contact(control netip.AddrPort) *contact {
-	for i := range m.contacts {
-		if m.contacts[i].control == control {
-			return &m.contacts[i]
-		}
-	}
-	return nil
-}
-
-func sameMembers(a, b []lhflow.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
