lhpeer: wait before a refused mark is repeated

Cause: a node with nothing to hand over repeated a refused mark at once, without end while the joining member did not know it.

--- a/lhpeer/cost_test.go
+++ b/lhpeer/cost_test.go
@@ -48,7 +48,11 @@
 // each has one of its own.
 func BenchmarkMerge(b *testing.B) {
 	caller, callee := startNode(b, Settings{Timing: slow}), startNode(b, Settings{Timing: slow})
-	ends := Message{From: 1, To: callee.self()}
+	waitActive(b, []running{caller}, 1)
+	waitActive(b, []running{callee}, 1)
+	caller.learn(callee)
+	callee.learn(caller)
+	ends := Message{From: caller.self(), To: callee.self()}
 	membership, revision, progress := ends, ends, ends
 	membership.Digest = 1 << 60
 	membership.Entries = []Entry{caller.own()}
--- a/lhpeer/handover.go
+++ b/lhpeer/handover.go
@@ -91,26 +91,31 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.settings.Clock()
 	started := 0
 	for _, id := range n.member.Unreleased() {
-		if n.excusing[id] {
+		if now < n.excuses[id] {
 			continue
 		}
-		n.excusing[id] = true
+		// The call ends before its next try is due.
+		n.excuses[id] = now + handOverTimeout + n.settings.Timing.Probe
 		started++
 		go func() { n.ends <- n.excuse(ctx, id) }()
 	}
 	return started
 }
 
-// excuse tells one joining member that this VM has nothing to hand over.
+// excuse tells one joining member that this VM has nothing to hand over. A
+// member that does not know this VM yet refuses that and is told again.
 func (n *Node) excuse(ctx context.Context, id lhflow.MemberID) end {
-	if n.Push(ctx, id, nil, true) != nil {
+	err := n.Push(ctx, id, nil, true)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.excuses, id)
+	if err != nil {
 		n.counts.failedPushes.Add(1)
+		n.excuses[id] = n.settings.Clock() + n.settings.Timing.Period/ticksPerPeriod
 	}
-	n.mu.Lock()
-	delete(n.excusing, id)
-	n.mu.Unlock()
 	return end{}
 }
 
--- a/lhpeer/node.go
+++ b/lhpeer/node.go
@@ -89,9 +89,9 @@
 	newer source
 	// fetching is set while a fetch runs.
 	fetching bool
-	// excusing holds the members that are being told that there is nothing to
-	// hand over.
-	excusing map[lhflow.MemberID]bool
+	// excuses holds when to tell a joining member next that there is nothing to
+	// hand over to it.
+	excuses map[lhflow.MemberID]time.Duration
 }
 
 // NewNode returns a node that takes part once Run has been called.
@@ -109,7 +109,7 @@
 		wake:      make(chan struct{}, 1),
 		ends:      make(chan end),
 		member:    &Membership{},
-		excusing:  make(map[lhflow.MemberID]bool),
+		excuses:   make(map[lhflow.MemberID]time.Duration),
 	}
 }
 
