--- a/lhpeer/node.go
+++ b/lhpeer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -59,6 +60,9 @@
 	// itself to each member that joins.
 	Records Records
 	Configs Configs
+	// TLS holds this VM's certificate and the authority that its peers' have to be
+	// signed by, as LoadTLS returns them; nil for clear text.
+	TLS *tls.Config
 	// Clock returns the VM's monotonic time; nil counts from the start of the node.
 	Clock func() time.Duration
 	// Dial opens connections to peers; nil is the system's way.
@@ -105,7 +109,7 @@
 	return &Node{
 		settings:  s,
 		budget:    b,
-		transport: newTransport(b, s.Dial),
+		transport: newTransport(b, s.TLS, s.Dial),
 		wake:      make(chan struct{}, 1),
 		ends:      make(chan end),
 		member:    &Membership{},
@@ -139,7 +143,7 @@
 	server := n.server()
 	served := make(chan error, 1)
 	go func() {
-		served <- server.Serve(&countedListener{Listener: listener, budget: n.budget})
+		served <- serve(server, &countedListener{Listener: listener, budget: n.budget})
 		cancel()
 	}()
 	n.loop(ctx)
@@ -156,6 +160,14 @@
 	return nil
 }
 
+// serve serves peers, encrypted if the server has keys.
+func serve(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig == nil {
+		return server.Serve(listener)
+	}
+	return server.ServeTLS(listener, "", "")
+}
+
 func (n *Node) server() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(lhpeerv1.NewPeerServiceHandler(
@@ -165,7 +177,8 @@
 	))
 	return &http.Server{
 		Handler:           mux,
-		Protocols:         cleartextHTTP2(),
+		TLSConfig:         n.settings.TLS.Clone(),
+		Protocols:         protocols(n.settings.TLS != nil),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout,
 	}
--- a/lhpeer/transport.go
+++ b/lhpeer/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -27,6 +28,8 @@
 type transport struct {
 	budget *budget
 	http   *http.Transport
+	// scheme is http, or https between VMs that know each other by certificates.
+	scheme string
 	// dialPeer opens a connection.
 	dialPeer func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -35,25 +38,34 @@
 	conns map[string]map[net.Conn]struct{}
 }
 
-// cleartextHTTP2 returns the one protocol that peers speak.
-func cleartextHTTP2() *http.Protocols {
+// protocols returns the one protocol that peers speak, HTTP/2.
+func protocols(encrypted bool) *http.Protocols {
 	p := new(http.Protocols)
-	p.SetUnencryptedHTTP2(true)
+	p.SetHTTP2(encrypted)
+	p.SetUnencryptedHTTP2(!encrypted)
 	return p
 }
 
-func newTransport(b *budget, dial func(context.Context, string, string) (net.Conn, error)) *transport {
+func newTransport(
+	b *budget, keys *tls.Config, dial func(context.Context, string, string) (net.Conn, error),
+) *transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	t := &transport{
 		budget:   b,
+		scheme:   "http",
 		dialPeer: dial,
 		conns:    make(map[string]map[net.Conn]struct{}),
 	}
+	if keys != nil {
+		t.scheme = "https"
+		keys = keys.Clone()
+	}
 	t.http = &http.Transport{
 		DialContext:     t.dial,
-		Protocols:       cleartextHTTP2(),
+		TLSClientConfig: keys,
+		Protocols:       protocols(keys != nil),
 		IdleConnTimeout: idleTimeout,
 	}
 	return t
@@ -63,7 +75,7 @@
 func (t *transport) client(control netip.AddrPort) lhpeerv1.PeerServiceClient {
 	return lhpeerv1.NewPeerServiceClient(
 		&http.Client{Transport: t.http},
-		"http://"+control.String(),
+		t.scheme+"://"+control.String(),
 		connect.WithAcceptCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessage),
 	)
