cmd/laburnumhollow: make keys, and run entry VMs with them

The entry process opens the keys of its settings, gives them to its node and, with tls.ops, serves operators by HTTPS. Dump, status and one line at the start say whether peers are authenticated. "keys ca" and "keys vm" make the files for groups without an authority, and the commands that ask VMs take --ca.

Commands of commands were not told apart from wrong calls, so a fault of "keys ca" would have ended as [2]; the step before each command now reaches all of them. TestFleet's VMs can be given keys; what it checks is unchanged.

--- a/cmd/laburnumhollow/dump.go
+++ b/cmd/laburnumhollow/dump.go
@@ -13,7 +13,7 @@
 
 func newDumpCommand(p *printer) *cobra.Command {
 	var service string
-	var timeout time.Duration
+	var o operator
 	c := &cobra.Command{
 		Use:   "dump ADDRESS",
 		Short: "Show the state of one entry process",
@@ -26,7 +26,7 @@
 		Example: "  laburnumhollow dump 10.40.1.11:7002\n  laburnumhollow dump 10.40.1.11:7002 --service cutdesk -o json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			client, err := opsClient(args[0], timeout)
+			client, err := o.ask(args[0])
 			if err != nil {
 				return err
 			}
@@ -38,13 +38,14 @@
 		},
 	}
 	c.Flags().StringVar(&service, "service", "", "show this service only")
-	addTimeout(c, &timeout)
+	o.addTo(c)
 	return c
 }
 
 func writeDump(w io.Writer, d lhops.Dump) {
 	fmt.Fprintf(w, "vm\t%s\ndata centre\t%s\ngroup\t%s\nversion\t%s\n", d.VM, d.DataCentre, d.Group, d.Version)
 	fmt.Fprintf(w, "state\t%s\nrevision\t%d %s\nview\t%d\n", stateText(d.Health), d.Revision, d.Digest, d.View)
+	fmt.Fprintf(w, "peers\t%s\n", peersText(d.Authenticated))
 	fmt.Fprintf(w, "flow table\t%d of %d flows, %d bytes\n", d.Table.Flows, d.Table.Limit, d.Table.Bytes)
 	writeMembers(w, d.Members)
 	writeServers(w, d.Services)
@@ -90,3 +91,11 @@
 	}
 	return h.State.String() + ": " + h.Reason
 }
+
+// peersText says whether peers have to prove that they belong to the group.
+func peersText(authenticated bool) string {
+	if authenticated {
+		return "authenticated"
+	}
+	return "not authenticated"
+}
--- a/cmd/laburnumhollow/fleet_test.go
+++ b/cmd/laburnumhollow/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -59,6 +58,8 @@
 	callers  int
 	// inProcess gives a VM's network where VMs run in the test's process.
 	inProcess func(*process) lhentry.Network
+	// keys is the folder of the group's keys; empty for a group in cleartext.
+	keys string
 }
 
 // process is one entry VM, in a process of its own or in the test's.
@@ -71,8 +72,10 @@
 	data    netip.AddrPort
 	control string
 	ops     string
-	ended   chan error
-	log     *logBuffer
+	// ca is the authority of a VM that serves operators by HTTPS; empty for HTTP.
+	ca    string
+	ended chan error
+	log   *logBuffer
 }
 
 // logBuffer keeps what a process has logged.
@@ -90,7 +93,16 @@
 
 func startFleet(t *testing.T, inProcess func(*process) lhentry.Network, dataCentres ...string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, dir: t.TempDir(), servers: map[string]*lhstand.BackendServer{}, inProcess: inProcess}
+	f := &fleet{t: t, dir: t.TempDir(), inProcess: inProcess}
+	f.start(dataCentres...)
+	return f
+}
+
+// start starts the stand-ins and VMs of a fleet that has a folder.
+func (f *fleet) start(dataCentres ...string) {
+	t := f.t
+	t.Helper()
+	f.servers = map[string]*lhstand.BackendServer{}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	assert.NilError(t, f.platform.Start())
@@ -109,7 +121,6 @@
 		f.startVM(dc)
 	}
 	f.awaitReady()
-	return f
 }
 
 func (f *fleet) write(name, text string) {
@@ -163,7 +174,7 @@
 stop = 20s
 heartbeat = 200ms
 suspect = 1s
-`, p.name, dc, address, address, address, f.fabric.Address().Addr(), f.fabric.Address(), contact, f.platform.URL())
+%s`, p.name, dc, address, address, address, f.fabric.Address().Addr(), f.fabric.Address(), contact, f.platform.URL(), f.tlsSection(p, n))
 	path := writeFile(f.t, f.dir, p.name+".ini", settings)
 	listening := make(chan struct{})
 	if f.inProcess != nil {
@@ -311,7 +322,7 @@
 }
 
 func (p *process) dump(ctx context.Context) (lhops.Dump, error) {
-	client, err := lhops.NewClient("http://"+p.ops, &http.Client{Timeout: 5 * time.Second})
+	client, err := (&operator{timeout: 5 * time.Second, ca: p.ca}).ask(p.ops)
 	if err != nil {
 		return lhops.Dump{}, err
 	}
--- /dev/null
+++ b/cmd/laburnumhollow/keys.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhkey"
+	"github.com/spf13/cobra"
+)
+
+// keysResult names the files that a command has written.
+type keysResult struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+func newKeysCommand(p *printer) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "keys",
+		Short: "Make the keys by which the VMs of a group know each other",
+		Long: `Make the keys by which the VMs of a group know each other, for operators who have
+no certificate authority of their own.
+
+Keep ca-key.pem away from the VMs: who has it can make a VM of the group. A VM
+needs ca.pem, its own certificate and its own key; see [tls] in its settings.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	c.AddCommand(newKeysCACommand(p), newKeysVMCommand(p))
+	return c
+}
+
+func newKeysCACommand(p *printer) *cobra.Command {
+	var group string
+	c := &cobra.Command{
+		Use:   "ca --group NAME DIR",
+		Short: "Make the certificate authority of a group",
+		Long: `Make the certificate authority of a group: DIR/ca.pem and DIR/ca-key.pem. It is
+valid for ten years and for this group only. No file is replaced.`,
+		Example: "  laburnumhollow keys ca --group hokkaido keys",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if err := checkName(group); err != nil {
+				return err
+			}
+			authority, err := lhkey.NewAuthority(group, time.Now())
+			if err != nil {
+				return err
+			}
+			pair, err := authority.Pair()
+			if err != nil {
+				return err
+			}
+			return saveKeys(p, pair, args[0], lhkey.AuthorityName)
+		},
+	}
+	addGroup(c, &group)
+	return c
+}
+
+func newKeysVMCommand(p *printer) *cobra.Command {
+	var vm lhkey.VM
+	var addresses []string
+	var out string
+	c := &cobra.Command{
+		Use:   "vm --group NAME --name VM --address IP... DIR",
+		Short: "Make the certificate and key of a VM",
+		Long: `Make the certificate and key of a VM, signed by the authority in DIR: DIR/VM.pem
+and DIR/VM-key.pem. They are valid for a year. No file is replaced: --out names
+another folder, for keys that are to take the place of older ones.`,
+		Example: "  laburnumhollow keys vm --group hokkaido --name sapporo-a-1 --address 10.40.1.11 keys",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if err := errors.Join(checkName(vm.Group), checkName(vm.Name)); err != nil {
+				return err
+			}
+			if out == "" {
+				out = args[0]
+			}
+			var err error
+			if vm.Addresses, err = parseAddresses(addresses); err != nil {
+				return err
+			}
+			authority, err := lhkey.ReadAuthority(args[0])
+			if err != nil {
+				return err
+			}
+			pair, err := authority.Issue(vm, time.Now())
+			if err != nil {
+				return err
+			}
+			return saveKeys(p, pair, out, vm.Name)
+		},
+	}
+	addGroup(c, &vm.Group)
+	c.Flags().StringVar(&vm.Name, "name", "", "name of the VM, as in vm.name of its settings")
+	c.Flags().StringSliceVar(&addresses, "address", nil, "IP numbers of the VM at which operators reach it")
+	c.Flags().StringVar(&out, "out", "", "folder for the new files; DIR if not set")
+	require(c, "name")
+	require(c, "address")
+	return c
+}
+
+func addGroup(c *cobra.Command, group *string) {
+	c.Flags().StringVar(group, "group", "", "name of the group, as in vm.group of the settings")
+	require(c, "group")
+}
+
+// checkName refuses a name that no settings could hold.
+func checkName(name string) error {
+	if lhconf.IsName(name) {
+		return nil
+	}
+	return lhcode.Newf(lhcode.Usage, "%q is no name of lower-case letters, digits and inner hyphens", name)
+}
+
+func parseAddresses(texts []string) ([]netip.Addr, error) {
+	var list []netip.Addr
+	for _, text := range texts {
+		address, err := netip.ParseAddr(text)
+		if err != nil {
+			return nil, lhcode.Wrap(lhcode.Usage, err, "--address")
+		}
+		list = append(list, address)
+	}
+	return list, nil
+}
+
+// saveKeys writes a pair and says where it is.
+func saveKeys(p *printer, pair lhkey.Pair, dir, name string) error {
+	if err := pair.Save(dir, name); err != nil {
+		return err
+	}
+	files := lhkey.FilesIn(dir, name)
+	result := keysResult{Certificate: files.Certificate, Key: files.Key}
+	return p.result(result, func(w io.Writer) {
+		fmt.Fprintf(w, "certificate\t%s\nkey\t%s\n", result.Certificate, result.Key)
+	})
+}
--- a/cmd/laburnumhollow/main.go
+++ b/cmd/laburnumhollow/main.go
@@ -19,12 +19,10 @@
 	p := &printer{out: stdout, errors: stderr}
 	root := newRoot(p)
 	started := false
-	for _, c := range root.Commands() {
-		c.RunE = onStart(c.RunE, func() error {
-			started = true
-			return p.checkFormat()
-		})
-	}
+	beforeEach(root.Commands(), func() error {
+		started = true
+		return p.checkFormat()
+	})
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
@@ -36,6 +34,16 @@
 	return exitCode(lhcode.Of(err))
 }
 
+// beforeEach puts a step before each of the commands and their own commands.
+func beforeEach(commands []*cobra.Command, step func() error) {
+	for _, c := range commands {
+		if c.RunE != nil {
+			c.RunE = onStart(c.RunE, step)
+		}
+		beforeEach(c.Commands(), step)
+	}
+}
+
 // onStart returns run with a step before it. A call that fails earlier than this
 // step was wrong in its words, flags or arguments.
 func onStart(run func(*cobra.Command, []string) error, step func() error) func(*cobra.Command, []string) error {
@@ -73,6 +81,7 @@
 		newRestoreCommand(p),
 		newDumpCommand(p),
 		newStatusCommand(p),
+		newKeysCommand(p),
 		newDemoCommand(p),
 		newLoadCommand(p),
 		newVersionCommand(p),
--- a/cmd/laburnumhollow/platform.go
+++ b/cmd/laburnumhollow/platform.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"net/netip"
 	"strconv"
-	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
@@ -27,8 +26,9 @@
 	// vms are operators' addresses given in place of the platform's list.
 	vms []string
 	// port is the operators' port of each VM on the list.
-	port    uint16
-	timeout time.Duration
+	port uint16
+	// operator asks the VMs.
+	operator operator
 	// unguarded lets a change pass without asking the VMs for their revision.
 	unguarded bool
 }
@@ -38,7 +38,7 @@
 	c.Flags().StringVar(&pl.url, "platform", "", "URL of the platform's key-value service")
 	c.Flags().StringSliceVar(&pl.vms, "vm", nil, "operators' addresses of VMs, in place of the platform's list")
 	c.Flags().Uint16Var(&pl.port, "port", defaultOpsPort, "operators' port of the VMs on the platform's list")
-	addTimeout(c, &pl.timeout)
+	pl.operator.addTo(c)
 	require(c, "platform")
 }
 
@@ -94,7 +94,7 @@
 	}
 	var highest lhstore.Position
 	answers := 0
-	for _, vm := range askStatus(ctx, spread(addresses, maxAsked), pl.timeout) {
+	for _, vm := range pl.operator.askStatus(ctx, spread(addresses, maxAsked)) {
 		if vm.Status == nil {
 			continue
 		}
--- a/cmd/laburnumhollow/show.go
+++ b/cmd/laburnumhollow/show.go
@@ -59,7 +59,7 @@
 	if err == nil {
 		err = failed
 	}
-	r.VMs = askStatus(ctx, addresses, pl.timeout)
+	r.VMs = pl.operator.askStatus(ctx, addresses)
 	for _, vm := range r.VMs {
 		if vm.Status != nil && r.Revision > 0 && positionOf(vm) == now.Position() {
 			r.Current++
--- a/cmd/laburnumhollow/status.go
+++ b/cmd/laburnumhollow/status.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"sync"
-	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhops"
@@ -21,7 +20,7 @@
 }
 
 func newStatusCommand(p *printer) *cobra.Command {
-	var timeout time.Duration
+	var o operator
 	c := &cobra.Command{
 		Use:   "status ADDRESS...",
 		Short: "Show at a glance where entry processes stand",
@@ -32,14 +31,14 @@
 		Example: "  laburnumhollow status 10.40.1.11:7002 10.40.2.11:7002 10.40.3.11:7002",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			all := askStatus(cmd.Context(), args, timeout)
+			all := o.askStatus(cmd.Context(), args)
 			if err := p.result(all, func(w io.Writer) { writeStatus(w, all) }); err != nil {
 				return err
 			}
 			return notServing(all)
 		},
 	}
-	addTimeout(c, &timeout)
+	o.addTo(c)
 	return c
 }
 
@@ -47,14 +46,14 @@
 const maxConcurrent = 64
 
 // askStatus asks all processes, many at the same time.
-func askStatus(ctx context.Context, addresses []string, timeout time.Duration) []vmStatus {
+func (o *operator) askStatus(ctx context.Context, addresses []string) []vmStatus {
 	all := make([]vmStatus, len(addresses))
 	var wg sync.WaitGroup
 	running := make(chan struct{}, maxConcurrent)
 	for i, address := range addresses {
 		running <- struct{}{}
 		wg.Go(func() {
-			all[i] = askOne(ctx, address, timeout)
+			all[i] = o.askOne(ctx, address)
 			<-running
 		})
 	}
@@ -62,8 +61,8 @@
 	return all
 }
 
-func askOne(ctx context.Context, address string, timeout time.Duration) vmStatus {
-	client, err := opsClient(address, timeout)
+func (o *operator) askOne(ctx context.Context, address string) vmStatus {
+	client, err := o.ask(address)
 	if err != nil {
 		return vmStatus{Address: address, Code: lhcode.Of(err), Text: err.Error()}
 	}
@@ -75,14 +74,15 @@
 }
 
 func writeStatus(w io.Writer, all []vmStatus) {
-	fmt.Fprint(w, "address\tvm\tdata centre\trevision\tmembers\tflows\tstate\n")
+	fmt.Fprint(w, "address\tvm\tdata centre\trevision\tmembers\tflows\tpeers\tstate\n")
 	for _, vm := range all {
 		if vm.Status == nil {
-			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t%s\n", vm.Address, vm.Text)
+			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t%s\n", vm.Address, vm.Text)
 			continue
 		}
 		s := vm.Status
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d %s\t%d\t%d\t%s\n", vm.Address, s.VM, s.DataCentre, s.Revision, s.Digest, s.Members, s.Flows, stateText(s.Health))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d %s\t%d\t%d\t%s\t%s\n",
+			vm.Address, s.VM, s.DataCentre, s.Revision, s.Digest, s.Members, s.Flows, peersText(s.Authenticated), stateText(s.Health))
 	}
 }
 
--- a/lhconf/merge.go
+++ b/lhconf/merge.go
@@ -83,7 +83,7 @@
 // declare adds what a section declares.
 func (c *Config) declare(s section) Problems {
 	kind, name, _ := strings.Cut(s.name, " ")
-	if !isName(name) {
+	if !IsName(name) {
 		return s.unknown(sectionsAllowed)
 	}
 	var problems Problems
--- a/lhconf/validate.go
+++ b/lhconf/validate.go
@@ -138,7 +138,7 @@
 }
 
 func (v *validator) checkName(section subject, taken bool) {
-	if !isName(section.name) {
+	if !IsName(section.name) {
 		v.add(lhcode.SettingInvalid, section, "", nameAllowed)
 	}
 	if taken {
--- a/lhconf/word.go
+++ b/lhconf/word.go
@@ -15,7 +15,7 @@
 		key:     key,
 		allowed: nameAllowed,
 		set: func(t *T, value string) lhcode.Code {
-			if !isName(value) {
+			if !IsName(value) {
 				return lhcode.SettingInvalid
 			}
 			*at(t) = value
@@ -62,8 +62,8 @@
 
 const nameAllowed = "a name of 1 to 63 lower-case letters, digits and inner hyphens"
 
-// isName reports whether a text has the form of every name that operators choose.
-func isName(text string) bool {
+// IsName reports whether a text has the form of every name that operators choose.
+func IsName(text string) bool {
 	for i := range len(text) {
 		c := text[i]
 		letter := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhkey"
 	"github.com/laburnumhollow/laburnumhollow/lhops"
 	"github.com/laburnumhollow/laburnumhollow/lhpeer"
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
@@ -40,6 +42,8 @@
 	fabric map[netip.Addr]bool
 	socket *lhsock.Socket
 	ops    net.Listener
+	// keys is nil where peers speak in cleartext.
+	keys   *lhkey.Ring
 	engine *lhflow.Engine
 	work   lhwork.Controller
 	// table is never nil.
@@ -68,6 +72,9 @@
 		started:  time.Now(),
 		fabric:   make(map[netip.Addr]bool, len(s.Fabric)),
 	}
+	if err := e.openKeys(); err != nil {
+		return nil, err
+	}
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
@@ -91,6 +98,18 @@
 	return e, nil
 }
 
+// openKeys reads the VM's keys, if the settings name any.
+func (e *Entry) openKeys() error {
+	t := e.settings.TLS
+	if !t.Enabled() {
+		return nil
+	}
+	files := lhkey.Files{CA: t.CA, Certificate: t.Certificate, Key: t.Key}
+	ring, err := lhkey.Open(files, e.settings.Group, e.log)
+	e.keys = ring
+	return err
+}
+
 func (e *Entry) listen() error {
 	workers := e.settings.Workers
 	if workers == 0 {
@@ -107,6 +126,9 @@
 	}
 	e.socket = socket
 	e.ops = ops
+	if e.settings.TLS.Operators {
+		e.ops = tls.NewListener(ops, e.keys.Operators())
+	}
 	return nil
 }
 
@@ -126,6 +148,7 @@
 		Configs:  configs{e.runner},
 		Clock:    e.now,
 		Dial:     e.network.Dial,
+		Keys:     e.keys,
 		Log:      e.log,
 	}
 }
@@ -223,6 +246,9 @@
 	compaction := compactor.Run(ctx, e.watching)
 	e.log.Info().Stringer("data", e.Data()).Stringer("control", e.Control()).Stringer("ops", e.Ops()).
 		Msg("listening")
+	if e.keys == nil {
+		e.log.Warn().Msg("peers are not authenticated; see [tls] in the settings")
+	}
 	parts := []func(context.Context) error{
 		func(context.Context) error { return <-node },
 		func(context.Context) error { return <-runner },
@@ -253,6 +279,9 @@
 		return err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: opsTimeout}
+	if e.keys != nil {
+		server.ErrorLog = e.keys.ErrorLog()
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(e.ops); err != http.ErrServerClosed {
--- a/lhentry/state.go
+++ b/lhentry/state.go
@@ -34,16 +34,17 @@
 	view := e.engine.View()
 	snap := e.work.Snapshot(e.now())
 	return lhops.Dump{
-		VM:         e.settings.Name,
-		DataCentre: e.settings.DataCentre,
-		Group:      e.settings.Group,
-		Health:     e.Health(),
-		Revision:   e.table.Load().Revision(),
-		Digest:     fmt.Sprintf("%016x", at.Digest),
-		View:       view.Version,
-		Members:    memberStates(view),
-		Services:   e.serviceStates(snap),
-		Work:       workStates(snap),
+		VM:            e.settings.Name,
+		DataCentre:    e.settings.DataCentre,
+		Group:         e.settings.Group,
+		Health:        e.Health(),
+		Authenticated: e.keys != nil,
+		Revision:      e.table.Load().Revision(),
+		Digest:        fmt.Sprintf("%016x", at.Digest),
+		View:          view.Version,
+		Members:       memberStates(view),
+		Services:      e.serviceStates(snap),
+		Work:          workStates(snap),
 		Table: lhops.TableState{
 			Flows: uint64(e.engine.Len()),
 			Limit: uint64(e.settings.Flows),
@@ -156,6 +157,12 @@
 	sums["report_calls"] = e.reports.calls.Load()
 	sums["report_failures"] = e.reports.failures.Load()
 	sums["report_contradictions"] = contradictions(snap)
+	if e.keys != nil {
+		k := e.keys.Counters()
+		sums["keys_renewed"] = k.Renewals
+		sums["keys_not_renewed"] = k.FailedRenewals
+		sums["handshakes_failed"] = k.FailedHandshakes
+	}
 	s := e.runner.State()
 	sums["store_failures"] = s.Counts.Failed
 	sums["store_lower"] = s.Counts.Lower
--- a/lhops/dump.go
+++ b/lhops/dump.go
@@ -70,6 +70,8 @@
 	Group      string `json:"group"`
 	Version    string `json:"version"`
 	Health     Health `json:"health"`
+	// Authenticated is set where peers have to prove that they belong to the group.
+	Authenticated bool `json:"authenticated"`
 	// Revision and Digest name the configuration in force; Revision is 0 before the first.
 	Revision uint64 `json:"revision"`
 	Digest   string `json:"digest"`
@@ -149,17 +151,20 @@
 	Digest     string `json:"digest"`
 	Members    int    `json:"members"`
 	Flows      uint64 `json:"flows"`
+	// Authenticated is set where peers have to prove that they belong to the group.
+	Authenticated bool `json:"authenticated"`
 }
 
 // Status returns the dump at a glance.
 func (d Dump) Status() Status {
 	return Status{
-		VM:         d.VM,
-		DataCentre: d.DataCentre,
-		Health:     d.Health,
-		Revision:   d.Revision,
-		Digest:     d.Digest,
-		Members:    len(d.Members),
-		Flows:      d.Table.Flows,
+		VM:            d.VM,
+		DataCentre:    d.DataCentre,
+		Health:        d.Health,
+		Revision:      d.Revision,
+		Digest:        d.Digest,
+		Members:       len(d.Members),
+		Flows:         d.Table.Flows,
+		Authenticated: d.Authenticated,
 	}
 }
--- a/lhops/transport_test.go
+++ b/lhops/transport_test.go
@@ -38,9 +38,10 @@
 			{Name: "cutdesk", Proto: lhflow.TCP, Flows: 5, Servers: []ServerState{{Number: 1, Name: "cutdesk-01", Flows: 5, State: lhconf.Draining}}},
 			{Name: "proofbox", Proto: lhflow.TCP, Servers: []ServerState{{Number: 2, Name: "proofbox-01"}}},
 		},
-		Work:     []WorkState{{Kind: "orders", Service: "cutdesk", Admitted: 9, Refused: 4}, {Kind: "proofs", Service: "proofbox"}},
-		Table:    TableState{Flows: 5, Limit: 1000, Bytes: 4096},
-		Counters: map[string]uint64{"drop_hops": 3},
+		Work:          []WorkState{{Kind: "orders", Service: "cutdesk", Admitted: 9, Refused: 4}, {Kind: "proofs", Service: "proofbox"}},
+		Authenticated: true,
+		Table:         TableState{Flows: 5, Limit: 1000, Bytes: 4096},
+		Counters:      map[string]uint64{"drop_hops": 3},
 	}
 }
 
--- a/lhpeer/keys_test.go
+++ b/lhpeer/keys_test.go
@@ -15,7 +15,7 @@
 )
 
 // keyFiles writes the files of a VM into a folder of its own.
-func keyFiles(t *testing.T, a *lhkey.Authority) lhkey.Files {
+func keyFiles(t testing.TB, a *lhkey.Authority) lhkey.Files {
 	t.Helper()
 	dir := t.TempDir()
 	authority, err := a.Pair()
@@ -26,14 +26,14 @@
 	return files
 }
 
-func newAuthority(t *testing.T) *lhkey.Authority {
+func newAuthority(t testing.TB) *lhkey.Authority {
 	t.Helper()
 	a, err := lhkey.NewAuthority("hokkaido", time.Now())
 	assert.NilError(t, err)
 	return a
 }
 
-func openRing(t *testing.T, files lhkey.Files) *lhkey.Ring {
+func openRing(t testing.TB, files lhkey.Files) *lhkey.Ring {
 	t.Helper()
 	ring, err := lhkey.Open(files, "hokkaido", zerolog.Nop())
 	assert.NilError(t, err)
@@ -112,7 +112,7 @@
 				s.change(f)
 			}
 			for i, n := range nodes {
-				awaitPings(t, n)
+				awaitPings(t, n, 6)
 				assert.Assert(t, rings[i].Generation() > before[i])
 			}
 			waitActive(t, nodes, 3)
@@ -141,22 +141,10 @@
 }
 
 // reissue writes new keys of a VM.
-func reissue(t *testing.T, a *lhkey.Authority, f lhkey.Files) {
+func reissue(t testing.TB, a *lhkey.Authority, f lhkey.Files) {
 	t.Helper()
 	pair, err := a.Issue(lhkey.VM{Group: "hokkaido", Name: "vm"}, time.Now())
 	assert.NilError(t, err)
 	assert.NilError(t, os.WriteFile(f.Key, pair.Key, 0o600))
 	assert.NilError(t, os.WriteFile(f.Certificate, pair.Certificate, 0o600))
 }
-
-// awaitPings waits until a node has exchanged messages for a while.
-func awaitPings(t *testing.T, n running) {
-	t.Helper()
-	before := n.Counters().Pings
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if now := n.Counters().Pings; now < before+6 {
-			return poll.Continue("%d pings", now-before)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(20*time.Second))
-}
