lhwire: tag what a member says about a flow

A packet with the relay option was accepted from the data address of a known member. Sources of UDP datagrams can be forged inside the operators' network, and the option says which server a flow has. It now ends in a siphash of the option and the flow's ID, keyed by the group's seed; a wrong one is counted as fault_tag. The option grows from 36 to 44 bytes and has one layout only, with the key or without.

A tag over the whole inner packet was ruled out: its cost grows with the packet. So a forged source moves no flow any more, but who reads the network can repeat an option with another packet of that flow.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -43,7 +43,9 @@
 	socket *lhsock.Socket
 	ops    net.Listener
 	// keys is nil where peers speak in cleartext.
-	keys   *lhkey.Ring
+	keys *lhkey.Ring
+	// tagKey is the key of the tags on packets between members.
+	tagKey lhwire.TagKey
 	engine *lhflow.Engine
 	work   lhwork.Controller
 	// table is never nil.
@@ -70,6 +72,7 @@
 		network:  n,
 		log:      log,
 		started:  time.Now(),
+		tagKey:   lhwire.NewTagKey(s.Seed),
 		fabric:   make(map[netip.Addr]bool, len(s.Fabric)),
 	}
 	if err := e.openKeys(); err != nil {
--- a/lhentry/forward.go
+++ b/lhentry/forward.go
@@ -53,6 +53,10 @@
 		f.add(CountForeign)
 		return
 	}
+	if fault := f.entry.tagKey.Verify(p, ev.ID); fault != lhwire.FaultNone {
+		f.faults[fault].Add(1)
+		return
+	}
 	if fault := p.Forward(); fault != lhwire.FaultNone {
 		f.faults[fault].Add(1)
 		return
@@ -116,7 +120,7 @@
 		f.add(CountToCaller)
 		f.send(p.Inner(), f.entry.settings.FabricTo)
 	case lhflow.ToPeer:
-		f.toPeer(p, v)
+		f.toPeer(p, ev, v)
 	case lhflow.Refuse:
 		f.add(CountRefused)
 		f.answer(refusal(p))
@@ -167,14 +171,14 @@
 	f.send(inner, server.Address())
 }
 
-func (f *forwarder) toPeer(p *lhwire.Packet, v lhflow.Verdict) {
+func (f *forwarder) toPeer(p *lhwire.Packet, ev *lhflow.Event, v lhflow.Verdict) {
 	member, ok := f.entry.members.member(v.Peer)
 	if !ok {
 		f.reasons[lhflow.ReasonCutOff].Add(1)
 		return
 	}
 	f.add(CountToPeer)
-	f.out = lhwire.AppendGeneve(f.out[:0], p.Inner(), f.entry.engine.View().Self, v.Relay)
+	f.out = f.entry.tagKey.AppendGeneve(f.out[:0], p.Inner(), ev.ID, f.entry.engine.View().Self, v.Relay)
 	f.write(member.Data)
 }
 
--- a/lhwire/decode_test.go
+++ b/lhwire/decode_test.go
@@ -277,6 +277,10 @@
 		again := decode(t, AppendGeneve(nil, p.Inner(), p.Sender(), p.Relay()))
 		assert.Equal(t, again.Key(lhflow.FromCaller), p.Key(lhflow.FromCaller))
 		assert.Equal(t, again.Relay(), p.Relay())
+		id := lhflow.Seed{}.ID(p.Key(lhflow.FromCaller))
+		assert.Assert(t, p.Sender() == 0 || tagKey.Verify(p, id) == FaultTag)
+		tagged := decode(t, tagKey.AppendGeneve(nil, p.Inner(), id, p.Sender(), p.Relay()))
+		assert.Equal(t, tagKey.Verify(tagged, id), FaultNone)
 		for _, reply := range [][]byte{ResetToCaller(p), Prohibited(p), TooBig(p, 1280), StripSYNData(p)} {
 			if reply != nil {
 				decode(t, geneve(reply))
--- a/lhwire/doc.go
+++ b/lhwire/doc.go
@@ -5,7 +5,8 @@
 // of its group carries one Geneve option more: who passed it on, and the
 // lhflow.Relay that says why. The option is marked as critical, so that a
 // receiver that doesn't know it drops the packet; it never reaches a caller or a
-// backend server, because AppendGeneve writes it only when asked to.
+// backend server, because AppendGeneve writes it only when asked to. The source
+// address of a UDP datagram can be forged, so the option carries a tag by a TagKey.
 //
 // A Decoder turns the payload of one UDP datagram into a Packet: a view of the
 // inner packet with the few values that decisions look at. It is reused from one
--- a/lhwire/fault.go
+++ b/lhwire/fault.go
@@ -28,6 +28,8 @@
 	FaultFragment
 	// FaultHopLimit is a packet that has been forwarded too often.
 	FaultHopLimit
+	// FaultTag is a relay option that no member of the group has written for the flow.
+	FaultTag
 	// FaultCount is the number of faults.
 	FaultCount
 )
@@ -36,7 +38,7 @@
 func (f Fault) String() string {
 	names := [FaultCount]string{
 		"none", "truncated", "length", "version", "foreign", "option", "header",
-		"checksum", "address", "protocol", "fragment", "hop-limit",
+		"checksum", "address", "protocol", "fragment", "hop-limit", "tag",
 	}
 	if f >= FaultCount {
 		return "unknown"
--- a/lhwire/geneve.go
+++ b/lhwire/geneve.go
@@ -12,7 +12,7 @@
 const (
 	geneveHeaderSize = 8
 	optionHeaderSize = 4
-	relaySize        = 36
+	relaySize        = 44
 	// Overhead is what Geneve adds to an inner packet outside the group.
 	Overhead = geneveHeaderSize
 	// RelayOverhead is what Geneve adds to an inner packet between members.
@@ -38,16 +38,9 @@
 	optionReservedMask = 0xe0
 )
 
-// AppendGeneve appends a Geneve packet with the given inner IP packet to dst. It
-// adds the relay option when there is a sender or a relay.
+// AppendGeneve is TagKey.AppendGeneve without a tag.
 func AppendGeneve(dst, inner []byte, sender lhflow.MemberID, relay lhflow.Relay) []byte {
-	if sender == 0 && relay.Kind == lhflow.RelayNone {
-		dst = appendHeader(dst, inner, 0, 0)
-		return append(dst, inner...)
-	}
-	dst = appendHeader(dst, inner, optionHeaderSize+relaySize, criticalFlag)
-	dst = appendRelay(dst, sender, relay)
-	return append(dst, inner...)
+	return TagKey{}.AppendGeneve(dst, inner, lhflow.ID{}, sender, relay)
 }
 
 func appendHeader(dst, inner []byte, optionSize, flags byte) []byte {
@@ -60,6 +53,7 @@
 	return binary.BigEndian.AppendUint32(dst, 0)
 }
 
+// appendRelay appends the body of a relay option up to its tag.
 func appendRelay(dst []byte, sender lhflow.MemberID, r lhflow.Relay) []byte {
 	dst = binary.BigEndian.AppendUint16(dst, relayClass)
 	dst = append(dst, relayType, relaySize/optionUnit)
@@ -107,6 +101,7 @@
 }
 
 func (p *Packet) readRelay(body []byte) Fault {
+	p.option = body
 	p.sender = lhflow.MemberID(binary.BigEndian.Uint64(body))
 	p.relay = lhflow.Relay{
 		Origin:  lhflow.MemberID(binary.BigEndian.Uint64(body[8:])),
--- a/lhwire/packet.go
+++ b/lhwire/packet.go
@@ -27,6 +27,8 @@
 	sender  lhflow.MemberID
 	// relay is its zero value when sender is 0.
 	relay lhflow.Relay
+	// option aliases the body of the relay option; it is nil when sender is 0.
+	option []byte
 }
 
 // Inner returns the inner IP packet, which aliases the decoded buffer.
