lhentry: tell callers that their backend server is dead

Cause: a server that falls silent with flows open left its callers without a word for as long as TCP repeats. Ruled out: health endpoints, which lag or mislead; a short time, since a flow whose server comes back goes on.

--- /dev/null
+++ b/cmd/laburnumhollow/docs_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDocsNameTests checks that each test that the docs name exists.
+func TestDocsNameTests(t *testing.T) {
+	sources, err := filepath.Glob("../../*/*_test.go")
+	assert.NilError(t, err)
+	own, err := filepath.Glob("*_test.go")
+	assert.NilError(t, err)
+	var code strings.Builder
+	for _, path := range append(sources, own...) {
+		text, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		code.Write(text)
+	}
+	pages, err := filepath.Glob("../../docs/*.md")
+	assert.NilError(t, err)
+	named := regexp.MustCompile("`(Test[A-Za-z]+)`")
+	for _, path := range pages {
+		text, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for _, match := range named.FindAllSubmatch(text, -1) {
+			name := string(match[1])
+			assert.Check(t, strings.Contains(code.String(), "func "+name+"("), "%s names %s", path, name)
+		}
+	}
+}
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -51,6 +51,10 @@
 	// table is never nil.
 	table   atomic.Pointer[lhplace.Table]
 	members contacts
+	silence silence
+	// cut holds the data centres that can't be reached; it is never changed after
+	// it has been stored.
+	cut     atomic.Pointer[[]string]
 	node    *lhpeer.Node
 	runner  *lhstore.Runner
 	store   *lhstore.Client
--- a/lhentry/forward.go
+++ b/lhentry/forward.go
@@ -86,6 +86,9 @@
 		return false
 	}
 	ev.Server, ok = table.ServerAt(from, service)
+	if ok {
+		f.entry.silence.heard(ev.Now, ev.Server)
+	}
 	return ok
 }
 
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +77,7 @@
 			cut = append(cut, a.DataCentre)
 		}
 	}
+	e.cut.Store(&cut)
 	e.work.SetCut(cut)
 	e.work.SetView(now, v, lost)
 	e.engine.SetView(now, v)
@@ -169,6 +171,7 @@
 			e.engine.Expire(now, part)
 			part++
 		}
+		e.silence.refresh(now, e.standing)
 		for _, a := range e.node.Unreachable() {
 			if now-a.Since < missingLimit {
 				e.engine.Missing(now)
@@ -181,6 +184,17 @@
 	}
 }
 
+// standing reports whether a backend server is declared, and whether it stands in
+// a data centre that can't be reached.
+func (e *Entry) standing(server uint32) (declared, cut bool) {
+	s, ok := e.table.Load().Server(server)
+	if !ok {
+		return false, false
+	}
+	list := e.cut.Load()
+	return true, list != nil && slices.Contains(*list, s.DataCentre())
+}
+
 // readList takes contacts from the platform's list of VMs. While the platform
 // does not answer the contacts known already have to do.
 func (e *Entry) readList(ctx context.Context) {
--- a/lhentry/place.go
+++ b/lhentry/place.go
@@ -40,7 +40,7 @@
 	return lhflow.ReasonRefused
 }
 
-// Holds implements lhflow.Placer. A server that a later revision declares is not
+// Holds implements lhflow.Placer. It is false for a server that is dead. One that a later revision declares is not
 // gone: packets to it are dropped, for the caller to repeat, until this VM has
 // that revision.
 func (p placer) Holds(server uint32, key lhflow.Key) bool {
@@ -49,7 +49,7 @@
 		return true
 	}
 	s, ok := table.Server(server)
-	if !ok {
+	if !ok || p.entry.silence.isDead(server) {
 		return false
 	}
 	service, ok := table.Service(key)
@@ -66,7 +66,7 @@
 // Accepts implements lhflow.Placer.
 func (p placer) Accepts(server uint32) bool {
 	s, ok := p.server(server)
-	return ok && s.Serving()
+	return ok && s.Serving() && !p.entry.silence.isDead(server)
 }
 
 func (p placer) server(number uint32) (*lhplace.Server, bool) {
@@ -98,11 +98,14 @@
 			// A datagram needs no handshake.
 			f.Phase = lhwork.PhaseOpening
 			work.Established(now, f)
+			return
 		}
+		p.entry.silence.asked(now, r.Server)
 	case lhflow.Adopted:
 		work.Adopted(f)
 	case lhflow.Answered:
 		work.Answered(now, f, r.After)
+		p.entry.silence.answered(r.Server)
 	case lhflow.Established:
 		work.Established(now, f)
 	case lhflow.Served:
