lhwork: make the pool of a service for its first unit

A Controller made a pool with servers and kinds for each of 16,000 services at every revision, of which a VM serves few at a time. Pools now stand in a slice by the index of their service, are made by the first unit and are let go at a table when they hold no flow and had no unit for a minute; their counters then begin anew. When servers came or returned is kept beside the pools, so that a pool that is made later starts them slowly as before. A state dump makes idle pools for the time of the dump.

Ruled out: a locked map of pools by name, which costs the packet path a lock and the hash of a string for each unit.

--- a/lhplace/service.go
+++ b/lhplace/service.go
@@ -11,6 +11,8 @@
 // Service is a service with its servers and kinds of work. It is never changed.
 type Service struct {
 	declared lhconf.Service
+	// index is the service's place in the list of its Table.
+	index int
 	// servers is sorted by number.
 	servers []*Server
 	// kinds is sorted by length of prefix, the longest first.
@@ -20,6 +22,9 @@
 // Name returns the declared name.
 func (s *Service) Name() string { return s.declared.Name }
 
+// Index returns the service's place in the list of its Table.
+func (s *Service) Index() int { return s.index }
+
 // Address returns the address and port that callers connect to.
 func (s *Service) Address() netip.AddrPort { return s.declared.Address }
 
--- a/lhplace/table.go
+++ b/lhplace/table.go
@@ -111,6 +111,9 @@
 		t.list = append(t.list, s)
 	}
 	sort.Slice(t.list, func(i, j int) bool { return t.list[i].Name() < t.list[j].Name() })
+	for i, s := range t.list {
+		s.index = i
+	}
 	return byName
 }
 
--- a/lhwork/controller.go
+++ b/lhwork/controller.go
@@ -26,17 +26,6 @@
 	noService atomic.Uint64
 }
 
-// state is what the Controller finds pools and servers by.
-type state struct {
-	table *lhplace.Table
-	pools map[*lhplace.Service]*pool
-	// byName holds the same pools by the names of their services.
-	byName map[string]*pool
-	// servers holds all declared servers, those of the table before, and removed
-	// ones while flows are held.
-	servers map[uint32]*server
-}
-
 // sharedPart is a Part that several threads read.
 type sharedPart struct {
 	mu   sync.Mutex
@@ -60,21 +49,12 @@
 func (c *Controller) SetTable(now time.Duration, table *lhplace.Table) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.state.Load()
-	next := &state{
-		table:   table,
-		pools:   map[*lhplace.Service]*pool{},
-		byName:  map[string]*pool{},
-		servers: map[uint32]*server{},
-	}
-	if old != nil {
-		next.keepServers(old)
-	}
-	for _, s := range table.Services() {
-		p := old.pool(s.Name())
-		next.pools[s], next.byName[s.Name()] = p, p
-		p.set(now, s, old != nil, next.servers)
-		p.setPlan(c.view, c.cut)
+	next := c.state.Load().successor(now, table)
+	for i, service := range table.Services() {
+		if p := next.pools[i].Load(); p != nil {
+			p.set(service, next.cold)
+			p.setPlan(c.view, c.cut)
+		}
 	}
 	c.state.Store(next)
 }
@@ -103,8 +83,10 @@
 	if s == nil {
 		return
 	}
-	for _, p := range s.pools {
-		p.setPlan(view, c.cut)
+	for i := range s.pools {
+		if p := s.pools[i].Load(); p != nil {
+			p.setPlan(view, c.cut)
+		}
 	}
 }
 
@@ -117,7 +99,7 @@
 		c.noService.Add(1)
 		return Decision{Reason: ReasonNoService}
 	}
-	p := s.pools[service]
+	p := c.pool(s, service)
 	if u.Identity == (Identity{}) {
 		return c.admit(now, u, p, service)
 	}
@@ -132,7 +114,7 @@
 	if !ok {
 		return 0, false
 	}
-	p := s.pools[service]
+	p := c.pool(s, service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh(now, &c.part)
@@ -148,7 +130,11 @@
 func (c *Controller) Retry(key lhflow.Key) bool {
 	s := c.state.Load()
 	service, ok := s.service(key)
-	return ok && s.pools[service].budget.Take()
+	if !ok {
+		return false
+	}
+	p := s.pool(service)
+	return p != nil && p.budget.Take()
 }
 
 // HandshakeTimeout returns how long a half-open flow of the service may last. It
@@ -159,7 +145,10 @@
 	if !ok {
 		return HandshakeLongest
 	}
-	p := s.pools[service]
+	p := s.pool(service)
+	if p == nil {
+		return HandshakeLongest
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.handshakeTimeout(now)
@@ -193,32 +182,30 @@
 	return p.admit(now, k)
 }
 
-func (s *state) service(key lhflow.Key) (*lhplace.Service, bool) {
-	if s == nil {
-		return nil, false
+// pool returns the pool of a service of s, which is made when the first unit for
+// the service arrives.
+func (c *Controller) pool(s *state, service *lhplace.Service) *pool {
+	if p := s.pool(service); p != nil {
+		return p
 	}
-	return s.table.Service(key)
-}
-
-// pool returns the pool of the service with a name, or a new one.
-func (s *state) pool(name string) *pool {
-	if s != nil {
-		if p, ok := s.byName[name]; ok {
-			return p
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	latest := c.state.Load()
+	if d, ok := latest.byName(service.Name()); ok {
+		service, s = d, latest
+	}
+	if p := s.pool(service); p != nil {
+		return p
 	}
-	return &pool{}
+	p := c.newPool(s, service)
+	s.pools[service.Index()].Store(p)
+	return p
 }
 
-// keepServers takes over the servers of old that still hold flows, and those that
-// it declared, which a thread may be opening a flow at.
-func (s *state) keepServers(old *state) {
-	for number, server := range old.servers {
-		_, declared := old.table.Server(number)
-		server.pool.mu.Lock()
-		if declared || server.held > 0 {
-			s.servers[number] = server
-		}
-		server.pool.mu.Unlock()
-	}
+// newPool returns a pool as it is before the first unit. The caller holds the lock.
+func (c *Controller) newPool(s *state, service *lhplace.Service) *pool {
+	p := &pool{}
+	p.set(service, s.cold)
+	p.setPlan(c.view, c.cut)
+	return p
 }
--- a/lhwork/declare.go
+++ b/lhwork/declare.go
@@ -7,17 +7,14 @@
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
 )
 
-// set takes over what the table declares of the service, keeps what is known of
-// its kinds and servers, and enters the servers into byNumber.
-func (p *pool) set(now time.Duration, service *lhplace.Service, ramp bool, byNumber map[uint32]*server) {
+// set takes over what the table declares of the service and keeps what is known of
+// its kinds and servers. cold says when servers began to start slowly.
+func (p *pool) set(service *lhplace.Service, cold map[uint32]time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.service, p.stale = service, true
 	p.setKinds(service.Kinds())
-	p.setServers(now, service.Servers(), ramp)
-	for _, s := range p.servers {
-		byNumber[s.declared.Number()] = s
-	}
+	p.setServers(service.Servers(), cold)
 }
 
 func (p *pool) setKinds(declared []*lhplace.Kind) {
@@ -42,7 +39,7 @@
 	p.claims = make([]Claim, len(p.kinds))
 }
 
-func (p *pool) setServers(now time.Duration, declared []*lhplace.Server, ramp bool) {
+func (p *pool) setServers(declared []*lhplace.Server, cold map[uint32]time.Duration) {
 	known := make(map[uint32]*server, len(p.servers))
 	for _, s := range p.servers {
 		known[s.declared.Number()] = s
@@ -54,8 +51,10 @@
 		if s == nil {
 			s = &server{pool: p}
 		}
-		if ramp && (s.declared == nil || restored) {
-			s.cold, s.started = true, now
+		if s.declared == nil || restored {
+			if started, ok := cold[d.Number()]; ok {
+				s.cold, s.started = true, started
+			}
 		}
 		s.declared = d
 		p.servers = append(p.servers, s)
--- a/lhwork/doc.go
+++ b/lhwork/doc.go
@@ -47,6 +47,11 @@
 // the time in which callers may retry; a VM answers "not known" where another one
 // may have run the unit.
 //
+// # Memory
+//
+// What is known of a service is made when its first unit arrives, and let go once it
+// holds no flow and has had no unit for a minute: its counters then begin anew.
+//
 // The package opens no socket, starts no goroutine and reads no clock. Each
 // service has its own lock, and so has each shard of the identities.
 package lhwork
--- a/lhwork/event.go
+++ b/lhwork/event.go
@@ -119,17 +119,42 @@
 // Events of a server that is declared no more and holds no flows are void.
 func (c *Controller) update(f Flow, change func(*pool, *server, *kind)) {
 	st := c.state.Load()
-	if st == nil {
+	if st == nil || c.updateIn(st, f, change) {
 		return
 	}
-	s, ok := st.servers[f.Server]
+	// The lock waits for the table that has taken the pool or server away.
+	c.mu.Lock()
+	st = c.state.Load()
+	c.mu.Unlock()
+	c.updateIn(st, f, change)
+}
+
+// updateIn is update in one state. It reports whether the server was found.
+func (c *Controller) updateIn(st *state, f Flow, change func(*pool, *server, *kind)) bool {
+	if declared, ok := st.table.Server(f.Server); ok {
+		return c.pool(st, declared.Service()).update(f, change)
+	}
+	s, ok := st.removed[f.Server]
 	if !ok {
-		return
+		return false
 	}
 	p := s.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change(p, s, p.kind(f.Kind))
+	return true
+}
+
+// update runs change unless the pool is without the flow's server.
+func (p *pool) update(f Flow, change func(*pool, *server, *kind)) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.server(f.Server)
+	if s == nil || p.dropped {
+		return false
+	}
+	change(p, s, p.kind(f.Kind))
+	return true
 }
 
 // leave ends the flow's phase of opening or waiting.
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -1,6 +1,8 @@
 package lhwork
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +23,7 @@
 	service *lhplace.Service
 	// kinds are the declared ones, and last the one of all other units.
 	kinds []*kind
-	// servers are in the order of the service's list.
+	// servers are in the order of their numbers.
 	servers []*server
 	// plan is the part of this VM's flows for each server's data centre.
 	plan []float64
@@ -50,6 +52,8 @@
 	// is set when they must be computed again at once.
 	refreshed time.Duration
 	stale     bool
+	// dropped is set once the Controller has let the pool go; it then takes no flow.
+	dropped bool
 	// claims is kept for Divide from one refresh to the next.
 	claims []Claim
 }
@@ -64,6 +68,20 @@
 	return p.kinds[len(p.kinds)-1]
 }
 
+// server returns the declared server with a number; nil where there is none.
+func (p *pool) server(number uint32) *server {
+	i, ok := slices.BinarySearchFunc(p.servers, number, func(s *server, number uint32) int {
+		return cmp.Compare(s.declared.Number(), number)
+	})
+	if !ok {
+		return nil
+	}
+	return p.servers[i]
+}
+
+// idle reports whether the pool holds no flow and has had no unit for poolIdle.
+func (p *pool) idle(now time.Duration) bool { return p.held == 0 && now-p.refreshed > poolIdle }
+
 // completion returns the part of handshakes that is expected to be completed.
 func (p *pool) completion(now time.Duration) float64 {
 	opening := &p.load.opening
--- a/lhwork/snapshot.go
+++ b/lhwork/snapshot.go
@@ -1,6 +1,10 @@
 package lhwork
 
-import "time"
+import (
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+)
 
 // Snapshot is what a Controller says of itself in a state dump.
 type Snapshot struct {
@@ -71,11 +75,21 @@
 		return snap
 	}
 	for _, service := range s.table.Services() {
-		snap.Services = append(snap.Services, s.pools[service].snapshot(now, &c.part))
+		snap.Services = append(snap.Services, c.shown(s, service).snapshot(now, &c.part))
 	}
 	return snap
 }
 
+// shown returns the pool of a service for a dump. It keeps none for an idle service.
+func (c *Controller) shown(s *state, service *lhplace.Service) *pool {
+	if p := s.pool(service); p != nil {
+		return p
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newPool(s, service)
+}
+
 func (p *pool) snapshot(now time.Duration, part *sharedPart) ServiceSnapshot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
