lhentry: tell a joining member anew once this VM itself has joined anew

Cause, by reading: handOver remembered for good which joining members it had told. A VM that lost its membership after a pause and joined anew counts for the joining member as another one, which had told nothing, so the joining member could wait without end. Node.Unreleased knows what is owed under the present ID. No test brings this about through the process; TestRejoinKeepsTheOthersInView and TestAnyHistoryConverges hold the decisions.

--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +18,7 @@
 	// expireParts is how many parts of the flow table are looked through in each tick.
 	expireParts = 8
 	// batchSize is how many records are taken for hand-over at a time.
-	batchSize = 64
+	batchSize = 256
 	// missingLimit is how long a member that can't be reached is waited for before
 	// packets of unknown flows are reset again.
 	missingLimit = 5 * time.Minute
@@ -119,7 +120,6 @@
 func (e *Entry) handOver(ctx context.Context) error {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	told := make(map[lhflow.MemberID]bool)
 	for {
 		select {
 		case <-ctx.Done():
@@ -127,14 +127,13 @@
 		case <-ticker.C:
 		}
 		view := e.engine.View()
+		owed := e.node.Unreleased()
 		for _, m := range view.Members {
-			if m.ID == view.Self || !e.handOverTo(ctx, m.ID) {
+			if m.ID == view.Self || !e.handOverTo(ctx, m.ID) || !slices.Contains(owed, m.ID) {
 				continue
 			}
-			if m.State != lhflow.Joining || told[m.ID] {
-				continue
-			}
-			told[m.ID] = e.node.Push(ctx, m.ID, nil, true) == nil
+			// A member that does not know this VM yet refuses the mark and stays owed.
+			_ = e.node.Push(ctx, m.ID, nil, true)
 		}
 	}
 }
