--- a/lhpeer/doc.go
+++ b/lhpeer/doc.go
@@ -39,4 +39,9 @@
 // VM's budget for control traffic. With Settings.Keys it does so by TLS, in which
 // both sides prove that they belong to the group; without, it trusts whoever
 // reaches it.
+//
+// The protocol is declared in peer.proto. Its generated code is committed; run at
+// the root of the module, this makes it anew:
+//
+//	go tool -modfile=tools/gen/go.mod buf generate
 package lhpeer
--- a/lhpeer/entry.go
+++ b/lhpeer/entry.go
@@ -55,8 +55,6 @@
 // peer is an Entry together with what only this VM knows of the member.
 type peer struct {
 	Entry
-	// heard is when the member last sent or answered a message; 0 for never.
-	heard time.Duration
 	// suspected is since when Health is Suspect.
 	suspected time.Duration
 	// ended is since when the entry is final.
--- a/lhpeer/membership.go
+++ b/lhpeer/membership.go
@@ -160,7 +160,6 @@
 		m.cursor = reply.After
 	}
 	if target := m.find(r.Message.Target); target != nil && reply.Reached {
-		target.heard = now
 		target.probed = 0
 	}
 	m.refresh()
--- a/lhpeer/merge.go
+++ b/lhpeer/merge.go
@@ -18,7 +18,6 @@
 	if p == nil {
 		return
 	}
-	p.heard = now
 	p.probed = 0
 	p.received = p.received || msg.HandedOver
 	m.compare(p, msg.Digest)
