--- a/cmd/laburnumhollow/failure_test.go
+++ b/cmd/laburnumhollow/failure_test.go
@@ -20,6 +20,8 @@
 	conn *lhstand.Conn
 	// lines counts the lines that came, whole and in order.
 	lines atomic.Int64
+	// pause is the longest time between two lines, in nanoseconds.
+	pause atomic.Int64
 	ended chan error
 }
 
@@ -39,10 +41,13 @@
 	if _, err := request.ReceiveHead(from); err != nil {
 		return err
 	}
+	last := time.Now()
 	for n := 0; ; n++ {
 		if err := request.ReceiveLine(from, n); err != nil {
 			return err
 		}
+		d.pause.Store(max(d.pause.Load(), int64(time.Since(last))))
+		last = time.Now()
 		d.lines.Add(1)
 	}
 }
@@ -88,6 +93,7 @@
 func (f *fleet) verify(h *held, when string) {
 	f.t.Helper()
 	f.awaitLines(h.feed, 3)
+	f.t.Logf("%s: the longest pause of the feed was %v", when, time.Duration(h.feed.pause.Load()))
 	for i, c := range h.conns {
 		assert.Equal(f.t, f.ask(c, fmt.Sprint(when, "-", i), "cutdesk"), h.replies[i])
 	}
@@ -109,7 +115,7 @@
 		f.startVM([]string{"sapporo-a", "sapporo-b", "ebetsu"}[i])
 		f.awaitReady()
 		f.signal(old, syscall.SIGTERM)
-		f.awaitDump(old, "leaving", func(d lhops.Dump) bool { return d.Health.State == lhops.Leaving })
+		f.awaitLog(old, "leaving")
 		f.routeWithout(old)
 		assert.NilError(t, f.awaitEnd(old))
 		f.awaitReady()
--- a/cmd/laburnumhollow/fleet_test.go
+++ b/cmd/laburnumhollow/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -321,6 +322,17 @@
 	return last
 }
 
+// awaitLog waits until a VM has logged a message, which it may do just before it ends.
+func (f *fleet) awaitLog(p *process, message string) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if !strings.Contains(p.log.String(), `"message":"`+message+`"`) {
+			return poll.Continue("%s has not logged %q", p.name, message)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience), poll.WithDelay(10*time.Millisecond))
+}
+
 func (p *process) dump(ctx context.Context) (lhops.Dump, error) {
 	client, err := (&operator{timeout: 5 * time.Second, ca: p.ca}).ask(p.ops)
 	if err != nil {
--- a/lhconf/settings.go
+++ b/lhconf/settings.go
@@ -54,7 +54,8 @@
 	Stop time.Duration
 	// Heartbeat is the time between two heartbeats to a peer.
 	Heartbeat time.Duration
-	// Suspect is the silence after which a peer counts as dead; at least two heartbeats.
+	// Suspect is how long a peer that does not answer may refute that, until it owns
+	// no flows any more; at least two heartbeats.
 	Suspect time.Duration
 	// Lease is how long a record learned from an owner may be used.
 	Lease time.Duration
@@ -73,7 +74,7 @@
 	DefaultMTU         = 1500 // bytes
 	DefaultStop        = 30 * time.Second
 	DefaultHeartbeat   = time.Second
-	DefaultSuspect     = 4 * time.Second
+	DefaultSuspect     = 2 * time.Second
 	DefaultLease       = 2 * time.Second
 	DefaultIdleTCP     = 24 * time.Hour
 	DefaultIdleUDP     = 5 * time.Minute
