lhops: show how many records a VM has yet to hand over

The first VM reached its bound; its flows went on at their other owner, whose copies to a third VM were still pending when it was stopped in turn. Operators could not see that: `status` showed every VM as serving. Conclusion: a second stop within hand-over's time is the remaining way in which planned changes end idle flows; nothing but the operator prevents it yet. At 300,000 flows and 3 KB/s that time is long, so a VM should refuse to leave or the bound should grow with what is pending.

--- a/cmd/laburnumhollow/dump.go
+++ b/cmd/laburnumhollow/dump.go
@@ -46,7 +46,7 @@
 	fmt.Fprintf(w, "vm\t%s\ndata centre\t%s\ngroup\t%s\nversion\t%s\n", d.VM, d.DataCentre, d.Group, d.Version)
 	fmt.Fprintf(w, "state\t%s\nrevision\t%d %s\nview\t%d\n", stateText(d.Health), d.Revision, d.Digest, d.View)
 	fmt.Fprintf(w, "peers\t%s\n", peersText(d.Authenticated))
-	fmt.Fprintf(w, "flow table\t%d of %d flows, %d bytes\n", d.Table.Flows, d.Table.Limit, d.Table.Bytes)
+	fmt.Fprintf(w, "flow table\t%d of %d flows, %d bytes; %d to hand over\n", d.Table.Flows, d.Table.Limit, d.Table.Bytes, d.Table.Pending)
 	writeMembers(w, d.Members)
 	writeServers(w, d.Services)
 	writeWork(w, d.Work)
--- a/cmd/laburnumhollow/status.go
+++ b/cmd/laburnumhollow/status.go
@@ -74,15 +74,15 @@
 }
 
 func writeStatus(w io.Writer, all []vmStatus) {
-	fmt.Fprint(w, "address\tvm\tdata centre\trevision\tmembers\tflows\tpeers\tstate\n")
+	fmt.Fprint(w, "address\tvm\tdata centre\trevision\tmembers\tflows\tto hand over\tpeers\tstate\n")
 	for _, vm := range all {
 		if vm.Status == nil {
-			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t%s\n", vm.Address, vm.Text)
+			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t-\t%s\n", vm.Address, vm.Text)
 			continue
 		}
 		s := vm.Status
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d %s\t%d\t%d\t%s\t%s\n",
-			vm.Address, s.VM, s.DataCentre, s.Revision, s.Digest, s.Members, s.Flows, peersText(s.Authenticated), stateText(s.Health))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d %s\t%d\t%d\t%d\t%s\t%s\n",
+			vm.Address, s.VM, s.DataCentre, s.Revision, s.Digest, s.Members, s.Flows, s.Pending, peersText(s.Authenticated), stateText(s.Health))
 	}
 }
 
--- a/lhdemo/fleet.go
+++ b/lhdemo/fleet.go
@@ -202,13 +202,17 @@
 	return vm, nil
 }
 
-// Stop stops a VM as planned: once the VM says that it leaves, fabric and backend
-// servers send it no more. It returns when the VM has ended.
+// Stop stops a VM as planned, once all VMs have handed over what earlier changes
+// left them to. When the VM says that it leaves, fabric and backend servers send it
+// no more. Stop returns when the VM has ended.
 func (f *Fleet) Stop(ctx context.Context, name string) error {
 	vm, err := f.vm(name)
 	if err != nil {
 		return err
 	}
+	if err := await(ctx, "hand-over", f.handedOver); err != nil {
+		return err
+	}
 	vm.stop()
 	if err := await(ctx, name+" to leave", vm.leaving); err != nil {
 		return err
@@ -217,6 +221,16 @@
 	return vm.wait(ctx)
 }
 
+// handedOver reports whether no VM has records to hand over.
+func (f *Fleet) handedOver() bool {
+	for _, vm := range f.active() {
+		if vm.Dump().Table.Pending > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // vm returns the VM with a name, which must not have been stopped.
 func (f *Fleet) vm(name string) (*VM, error) {
 	for _, vm := range f.active() {
--- a/lhentry/state.go
+++ b/lhentry/state.go
@@ -46,14 +46,24 @@
 		Services:      e.serviceStates(snap),
 		Work:          workStates(snap),
 		Table: lhops.TableState{
-			Flows: uint64(e.engine.Len()),
-			Limit: uint64(e.settings.Flows),
-			Bytes: uint64(e.engine.Len()) * lhflow.RecordBytes,
+			Flows:   uint64(e.engine.Len()),
+			Limit:   uint64(e.settings.Flows),
+			Bytes:   uint64(e.engine.Len()) * lhflow.RecordBytes,
+			Pending: e.pending(view),
 		},
 		Counters: e.counters(snap),
 	}
 }
 
+// pending returns how many records are to be handed over to all members.
+func (e *Entry) pending(view *lhflow.View) uint64 {
+	sum := 0
+	for _, m := range view.Members {
+		sum += e.engine.Pending(m.ID)
+	}
+	return uint64(sum)
+}
+
 func memberStates(view *lhflow.View) []lhops.MemberState {
 	list := make([]lhops.MemberState, 0, len(view.Members))
 	for _, m := range view.Members {
--- a/lhentry/stop.go
+++ b/lhentry/stop.go
@@ -34,12 +34,7 @@
 	if self.State != lhflow.Leaving {
 		return false
 	}
-	for _, m := range view.Members {
-		if e.engine.Pending(m.ID) > 0 {
-			return false
-		}
-	}
-	return true
+	return e.pending(view) == 0
 }
 
 // awaitQuiet returns when no packet has come for quietTime, or when ctx ends.
--- a/lhops/dump.go
+++ b/lhops/dump.go
@@ -140,6 +140,8 @@
 	Limit uint64 `json:"limit"`
 	// Bytes is the memory that the table takes.
 	Bytes uint64 `json:"bytes"`
+	// Pending is how many records this VM has yet to hand over to others.
+	Pending uint64 `json:"pending"`
 }
 
 // Status is a Dump at a glance.
@@ -151,6 +153,8 @@
 	Digest     string `json:"digest"`
 	Members    int    `json:"members"`
 	Flows      uint64 `json:"flows"`
+	// Pending is how many records the VM has yet to hand over to others.
+	Pending uint64 `json:"pending"`
 	// Authenticated is set where peers have to prove that they belong to the group.
 	Authenticated bool `json:"authenticated"`
 }
@@ -165,6 +169,7 @@
 		Digest:        d.Digest,
 		Members:       len(d.Members),
 		Flows:         d.Table.Flows,
+		Pending:       d.Table.Pending,
 		Authenticated: d.Authenticated,
 	}
 }
--- a/lhops/metrics.go
+++ b/lhops/metrics.go
@@ -29,6 +29,7 @@
 	flows    metric.Int64ObservableGauge
 	limit    metric.Int64ObservableGauge
 	bytes    metric.Int64ObservableGauge
+	pending  metric.Int64ObservableGauge
 	servers  metric.Int64ObservableGauge
 	work     metric.Int64ObservableGauge
 	admitted metric.Int64ObservableCounter
@@ -64,6 +65,7 @@
 	m.flows = d.gauge("table.flows", "records in the flow table", "")
 	m.limit = d.gauge("table.limit", "records that the flow table has room for", "")
 	m.bytes = d.gauge("table.size", "memory of the flow table", "By")
+	m.pending = d.gauge("table.pending", "records to hand over to other VMs", "")
 	m.servers = d.gauge("server.flows", "flows held by this VM to a backend server", "")
 	m.work = d.gauge("work.flows", "flows open of a kind of work", "")
 	m.admitted = d.counter("work.admitted", "flows admitted of a kind of work")
@@ -94,6 +96,7 @@
 	o.ObserveInt64(m.flows, int64(d.Table.Flows))
 	o.ObserveInt64(m.limit, int64(d.Table.Limit))
 	o.ObserveInt64(m.bytes, int64(d.Table.Bytes))
+	o.ObserveInt64(m.pending, int64(d.Table.Pending))
 	for name, n := range d.Counters {
 		o.ObserveInt64(m.events, int64(n), labels("name", name))
 	}
--- a/lhops/transport_test.go
+++ b/lhops/transport_test.go
@@ -40,7 +40,7 @@
 		},
 		Work:          []WorkState{{Kind: "orders", Service: "cutdesk", Admitted: 9, Refused: 4}, {Kind: "proofs", Service: "proofbox"}},
 		Authenticated: true,
-		Table:         TableState{Flows: 5, Limit: 1000, Bytes: 4096},
+		Table:         TableState{Flows: 5, Limit: 1000, Bytes: 4096, Pending: 3},
 		Counters:      map[string]uint64{"drop_hops": 3},
 	}
 }
@@ -141,6 +141,7 @@
 		`laburnumhollow_revision 7`,
 		`laburnumhollow_members{state="leaving"} 1`,
 		`laburnumhollow_table_size_bytes 4096`,
+		`laburnumhollow_table_pending 3`,
 		`laburnumhollow_server_flows{server="cutdesk-01",service="cutdesk"} 5`,
 		`laburnumhollow_work_refused_total{kind="orders",service="cutdesk"} 4`,
 		`laburnumhollow_events_total{name="drop_hops"} 3`,
