lhplace: keep what is declared once, and index it without keys

A Table copied each declaration and held five maps whose keys were larger than what they led to: 21 MB at full size. It now refers to what the configuration declares, keeps services, servers and kinds in one slice each, and finds them through hash tables of 4-byte places with linear probing, half filled at most. A server knows its place in its service's list, by which lhwork finds it without a second map.

The time to build a Table is still above its bound.

--- a/lhplace/server.go
+++ b/lhplace/server.go
@@ -8,13 +8,20 @@
 
 // Server is a backend server as the tables hold it. It is never changed.
 type Server struct {
-	declared lhconf.BackendServer
+	declared *lhconf.BackendServer
 	// service is the service whose Servers list holds this server.
 	service *Service
+	// number is the declared one, kept where lookups compare it.
+	number uint32
+	// index is the server's place in the service's list.
+	index uint32
 }
 
 // Number returns the number that identifies the server for ever.
-func (s *Server) Number() uint32 { return s.declared.Number }
+func (s *Server) Number() uint32 { return s.number }
+
+// Index returns the server's place in the list of its service.
+func (s *Server) Index() int { return int(s.index) }
 
 // Name returns the declared name.
 func (s *Server) Name() string { return s.declared.Name }
@@ -25,6 +32,11 @@
 // Address returns where the server receives Geneve packets.
 func (s *Server) Address() netip.AddrPort { return s.declared.Address }
 
+// source returns where the server sends from, unless its port varies.
+func (s *Server) source() netip.AddrPort {
+	return netip.AddrPortFrom(s.declared.Address.Addr().Unmap(), s.declared.Address.Port())
+}
+
 // Report returns the URL of the server's load report; empty where there is none.
 func (s *Server) Report() string { return s.declared.Report }
 
--- a/lhplace/service.go
+++ b/lhplace/service.go
@@ -1,8 +1,9 @@
 package lhplace
 
 import (
+	"cmp"
 	"net/netip"
-	"sort"
+	"slices"
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
@@ -10,7 +11,7 @@
 
 // Service is a service with its servers and kinds of work. It is never changed.
 type Service struct {
-	declared lhconf.Service
+	declared *lhconf.Service
 	// index is the service's place in the list of its Table.
 	index int
 	// servers is sorted by number.
@@ -51,9 +52,15 @@
 	return nil
 }
 
+// at reports whether callers reach the service there.
+func (s *Service) at(address [16]byte, port uint16, proto lhflow.Proto) bool {
+	a := s.declared.Address
+	return a.Port() == port && a.Addr().As16() == address && s.declared.Proto == proto
+}
+
 // Kind is a kind of work of one service. It is never changed.
 type Kind struct {
-	declared lhconf.Kind
+	declared *lhconf.Kind
 	// number is unique within a Table and never 0.
 	number uint16
 }
@@ -81,28 +88,26 @@
 // prefixLength returns the bits of the kind's caller prefix; -1 for all callers.
 func (k *Kind) prefixLength() int { return k.declared.Callers.Bits() }
 
-// numberKinds gives each kind a number that depends on names alone. Of two names
-// with the same hash, the later one in order takes the next free number.
-func numberKinds(kinds []lhconf.Kind) map[string]uint16 {
-	names := make([]string, 0, len(kinds))
-	for _, k := range kinds {
-		names = append(names, kindName(k))
+// numberKinds returns a number for each kind that depends on names alone. Of two
+// names with the same hash, the later one in order takes the next free number.
+func numberKinds(kinds []lhconf.Kind) []uint16 {
+	names, order := make([]string, len(kinds)), make([]int, len(kinds))
+	for i := range kinds {
+		names[i], order[i] = kinds[i].Service+"/"+kinds[i].Name, i
 	}
-	sort.Strings(names)
-	numbers := make(map[string]uint16, len(names))
-	taken := make(map[uint16]bool, len(names))
-	for _, n := range names {
-		h := hash16(n)
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(names[a], names[b]) })
+	numbers := make([]uint16, len(kinds))
+	var taken [1 << 16]bool
+	for _, i := range order {
+		h := hash16(names[i])
 		for h == 0 || taken[h] {
 			h++
 		}
-		numbers[n], taken[h] = h, true
+		numbers[i], taken[h] = h, true
 	}
 	return numbers
 }
 
-func kindName(k lhconf.Kind) string { return k.Service + "/" + k.Name }
-
 // hash16 folds the 32-bit FNV-1a hash of s.
 func hash16(s string) uint16 {
 	h := uint32(2166136261)
--- a/lhwork/event.go
+++ b/lhwork/event.go
@@ -1,6 +1,10 @@
 package lhwork
 
-import "time"
+import (
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhplace"
+)
 
 // Opened reports that the SYN or first datagram of an admitted flow has gone to
 // its server.
@@ -132,7 +136,7 @@
 // updateIn is update in one state. It reports whether the server was found.
 func (c *Controller) updateIn(st *state, f Flow, change func(*pool, *server, *kind)) bool {
 	if declared, ok := st.table.Server(f.Server); ok {
-		return c.pool(st, declared.Service()).update(f, change)
+		return c.pool(st, declared.Service()).update(declared, f, change)
 	}
 	s, ok := st.removed[f.Server]
 	if !ok {
@@ -146,10 +150,10 @@
 }
 
 // update runs change unless the pool is without the flow's server.
-func (p *pool) update(f Flow, change func(*pool, *server, *kind)) bool {
+func (p *pool) update(declared *lhplace.Server, f Flow, change func(*pool, *server, *kind)) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.server(f.Server)
+	s := p.server(declared)
 	if s == nil || p.dropped {
 		return false
 	}
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -68,8 +68,14 @@
 	return p.kinds[len(p.kinds)-1]
 }
 
-// server returns the declared server with a number; nil where there is none.
-func (p *pool) server(number uint32) *server {
+// server returns what is known of a server of the service; nil where the pool's
+// table doesn't declare it.
+func (p *pool) server(declared *lhplace.Server) *server {
+	number := declared.Number()
+	if i := declared.Index(); i < len(p.servers) && p.servers[i].declared.Number() == number {
+		return p.servers[i]
+	}
+	// The server is of another revision than the pool.
 	i, ok := slices.BinarySearchFunc(p.servers, number, func(s *server, number uint32) int {
 		return cmp.Compare(s.declared.Number(), number)
 	})
