lhstore: hold a configuration once, and its files compressed

It now holds the sorted slices of the configuration itself, which its successors and tables share, and the files of each page compressed. Pages are derived where one is changed, written or sent. Repeated names of services and data centres are kept once. A Runner delivers configurations without the files, which none of its callers reads.

Ruled out: keeping pages compressed with their declarations: a VM needs these decoded for its tables anyway.

--- a/lhstore/apply.go
+++ b/lhstore/apply.go
@@ -195,11 +195,15 @@
 // None of it is in force before the head names it. It must be called after the
 // head that is to be swapped was read: compaction relies on that.
 func writeSnapshot(ctx context.Context, store Store, held, next *Snapshot, stamp string) error {
+	var wanted [PageCount]bool
 	for i, hash := range next.hashes {
-		if hash == "" || hash == held.hashes[i] {
+		wanted[i] = hash != "" && hash != held.hashes[i]
+	}
+	for i, p := range next.pages(&wanted) {
+		if !wanted[i] {
 			continue
 		}
-		if err := writeValue(ctx, store, pageKey(hash), next.pages[i], stamp); err != nil {
+		if err := writeValue(ctx, store, pageKey(next.hashes[i]), p, stamp); err != nil {
 			return err
 		}
 	}
--- a/lhstore/declaration.go
+++ b/lhstore/declaration.go
@@ -2,11 +2,19 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 )
 
+// What the names of declarations begin with.
+const (
+	serviceName = "service "
+	serverName  = "server "
+	kindName    = "kind "
+)
+
 // Declaration is one service, backend server or kind of work, as the merged files
 // declare it and with the number that the server was given. It is never changed
 // after it has been built. Exactly one field is set, and none where it was removed.
@@ -23,19 +31,25 @@
 	Declaration
 }
 
-// declarations returns what a configuration declares, by name.
-func declarations(config lhconf.Config) map[string]Declaration {
-	all := make(map[string]Declaration, len(config.Services)+len(config.Servers)+len(config.Kinds))
-	for _, s := range config.Services {
-		all["service "+s.Name] = Declaration{Service: &s}
-	}
-	for _, b := range config.Servers {
-		all["server "+b.Name] = Declaration{Server: &b}
-	}
-	for _, k := range config.Kinds {
-		all["kind "+k.Name] = Declaration{Kind: &k}
+// declarations yields what a configuration declares, by name.
+func declarations(config *lhconf.Config) iter.Seq2[string, Declaration] {
+	return func(yield func(string, Declaration) bool) {
+		for i := range config.Services {
+			if d := &config.Services[i]; !yield(serviceName+d.Name, Declaration{Service: d}) {
+				return
+			}
+		}
+		for i := range config.Servers {
+			if d := &config.Servers[i]; !yield(serverName+d.Name, Declaration{Server: d}) {
+				return
+			}
+		}
+		for i := range config.Kinds {
+			if d := &config.Kinds[i]; !yield(kindName+d.Name, Declaration{Kind: d}) {
+				return
+			}
+		}
 	}
-	return all
 }
 
 // removed reports whether nothing is declared.
@@ -45,18 +59,6 @@
 	return same(d.Service, e.Service) && same(d.Server, e.Server) && same(d.Kind, e.Kind)
 }
 
-// addTo adds the declaration to a configuration.
-func (d Declaration) addTo(config *lhconf.Config) {
-	switch {
-	case d.Service != nil:
-		config.Services = append(config.Services, *d.Service)
-	case d.Server != nil:
-		config.Servers = append(config.Servers, *d.Server)
-	case d.Kind != nil:
-		config.Kinds = append(config.Kinds, *d.Kind)
-	}
-}
-
 func same[T comparable](a, b *T) bool {
 	return a == b || a != nil && b != nil && *a == *b
 }
--- a/lhstore/page.go
+++ b/lhstore/page.go
@@ -6,9 +6,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
-	"hash/fnv"
 	"io"
-	"maps"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
 )
@@ -31,23 +29,14 @@
 	Declared map[string]Declaration `json:"declared,omitempty"`
 }
 
-// pageOf returns the index of the page for the name of a file or declaration.
+// pageOf returns the index of the page for the name of a file or declaration: its
+// 32-bit FNV-1a hash modulo the number of pages.
 func pageOf(name string) int {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name))
-	return int(h.Sum32() % PageCount)
-}
-
-// clone returns a copy that may be changed until it is shared.
-func (p page) clone() page {
-	c := page{Files: maps.Clone(p.Files), Declared: maps.Clone(p.Declared)}
-	if c.Files == nil {
-		c.Files = map[string]string{}
+	h := uint32(2166136261)
+	for i := range len(name) {
+		h = (h ^ uint32(name[i])) * 16777619
 	}
-	if c.Declared == nil {
-		c.Declared = map[string]Declaration{}
-	}
-	return c
+	return int(h % PageCount)
 }
 
 // hash returns the name of the page's contents; empty for an empty page.
@@ -65,9 +54,11 @@
 
 // pack encodes v for the store. The stamp makes each write differ from all
 // others, also at a store whose ETag depends on the value alone.
-func pack(v any, stamp string) ([]byte, error) {
+func pack(v any, stamp string) ([]byte, error) { return packLevel(v, stamp, gzip.BestCompression) }
+
+func packLevel(v any, stamp string, level int) ([]byte, error) {
 	var buffer bytes.Buffer
-	z, _ := gzip.NewWriterLevel(&buffer, gzip.BestCompression)
+	z, _ := gzip.NewWriterLevel(&buffer, level)
 	z.Comment = stamp
 	if err := json.NewEncoder(z).Encode(v); err != nil {
 		return nil, lhcode.Wrap(lhcode.Internal, err, "encode")
--- a/lhstore/parcel.go
+++ b/lhstore/parcel.go
@@ -48,12 +48,12 @@
 	if s.position != p.At || len(p.Pages) != PageCount || len(p.Whole.Pages) != PageCount {
 		return Snapshot{}, lhcode.Newf(lhcode.Internal, "the contents of %v are damaged", p.At)
 	}
-	copy(s.pages[:], p.Pages)
-	for i, page := range s.pages {
+	for i, page := range p.Pages {
 		if s.hashes[i] = page.hash(); s.hashes[i] != p.Whole.Pages[i] {
 			return Snapshot{}, lhcode.Newf(lhcode.Internal, "page %d of %v is damaged", i, p.At)
 		}
 	}
+	s.fill(p.Pages)
 	return s, nil
 }
 
@@ -96,7 +96,7 @@
 	if p.Changes = h.since(have); have == 0 || p.Changes == nil {
 		p.Changes = nil
 		p.Whole = &s.manifest
-		p.Pages = s.pages[:]
+		p.Pages = s.allPages()
 	}
 	return pack(p, "")
 }
--- a/lhstore/runner.go
+++ b/lhstore/runner.go
@@ -55,7 +55,7 @@
 }
 
 // NewRunner returns a Runner that calls deliver with each configuration once it
-// is accepted, with rising revisions. It asks watching whether this VM is one of
+// is accepted, with rising revisions and without the files. It asks watching whether this VM is one of
 // those that watch the store.
 func NewRunner(store Watcher, watching func() bool, deliver func(lhconf.Config)) *Runner {
 	return &Runner{
@@ -227,7 +227,7 @@
 	if err := r.wants(next.position); err != nil {
 		return err
 	}
-	r.deliver(next.Config())
+	r.deliver(next.inForce())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.snapshot = next
--- a/lhstore/snapshot.go
+++ b/lhstore/snapshot.go
@@ -11,13 +11,16 @@
 )
 
 // Snapshot is a whole configuration at one position. It is never changed after
-// it has been built; its successors share the pages they leave as they are. The
-// zero Snapshot is the empty configuration before the first revision.
+// it has been built; its successors share what they leave as it is. The zero
+// Snapshot is the empty configuration before the first revision.
 type Snapshot struct {
 	manifest Manifest
 	// position is that of manifest; the zero Position before the first revision.
 	position Position
-	pages    [PageCount]page
+	// declared is sorted by names and holds no files.
+	declared lhconf.Config
+	// texts holds the files of each page, compressed.
+	texts [PageCount]texts
 	// hashes holds the hash of each page.
 	hashes [PageCount]string
 }
@@ -30,33 +33,71 @@
 
 // File returns the text of a file.
 func (s *Snapshot) File(name string) (string, bool) {
-	text, found := s.pages[pageOf(name)].Files[name]
+	text, found := s.texts[pageOf(name)].files()[name]
 	return text, found
 }
 
 // Files returns the text of all files by name.
 func (s *Snapshot) Files() map[string]string {
 	files := map[string]string{}
-	for _, p := range s.pages {
-		maps.Copy(files, p.Files)
+	for _, t := range s.texts {
+		maps.Copy(files, t.files())
 	}
 	return files
 }
 
-// Config returns the configuration of the snapshot, sorted by names.
+// Config returns the configuration of the snapshot, sorted by names. The caller
+// must not change what the slices hold.
 func (s *Snapshot) Config() lhconf.Config {
-	config := lhconf.Config{
-		Revision:   s.position.Revision,
-		NextNumber: s.manifest.NextNumber,
-		Files:      s.Files(),
+	config := s.inForce()
+	config.Files = s.Files()
+	return config
+}
+
+// inForce returns the configuration without its files.
+func (s *Snapshot) inForce() lhconf.Config {
+	config := s.declared
+	config.Revision = s.position.Revision
+	config.NextNumber = s.manifest.NextNumber
+	return config
+}
+
+// pages returns the pages that are wanted; the others are empty.
+func (s *Snapshot) pages(wanted *[PageCount]bool) []page {
+	pages := make([]page, PageCount)
+	for i := range pages {
+		if wanted[i] {
+			pages[i] = page{Files: s.texts[i].files(), Declared: map[string]Declaration{}}
+		}
+	}
+	for name, d := range declarations(&s.declared) {
+		if i := pageOf(name); wanted[i] {
+			pages[i].Declared[name] = d
+		}
+	}
+	return pages
+}
+
+// allPages returns every page.
+func (s *Snapshot) allPages() []page {
+	var wanted [PageCount]bool
+	for i := range wanted {
+		wanted[i] = true
 	}
-	for _, p := range s.pages {
+	return s.pages(&wanted)
+}
+
+// fill makes the contents those of pages.
+func (s *Snapshot) fill(pages []page) {
+	shared := words{}
+	s.declared = lhconf.Config{}
+	for i, p := range pages {
+		s.texts[i] = pressTexts(p.Files)
 		for _, d := range p.Declared {
-			d.addTo(&config)
+			shared.addTo(&s.declared, d)
 		}
 	}
-	sortConfig(&config)
-	return config
+	sortConfig(&s.declared)
 }
 
 // successor returns the next revision, with files changed and what config declares.
@@ -94,31 +135,30 @@
 // changed returns a copy with the changes of m made and its old position.
 func (s *Snapshot) changed(m Manifest) Snapshot {
 	next := *s
-	var touched [PageCount]bool
-	at := func(name string) page {
-		i := pageOf(name)
-		if !touched[i] {
-			next.pages[i], touched[i] = next.pages[i].clone(), true
-		}
-		return next.pages[i]
+	next.declared = edited(s.declared, m.Declared)
+	var files, touched [PageCount]bool
+	for _, f := range m.Files {
+		i := pageOf(f.Name)
+		files[i], touched[i] = true, true
 	}
+	for _, d := range m.Declared {
+		touched[pageOf(d.Name)] = true
+	}
+	pages := next.pages(&touched)
 	for _, f := range m.Files {
+		at := pages[pageOf(f.Name)].Files
 		if f.Removed {
-			delete(at(f.Name).Files, f.Name)
+			delete(at, f.Name)
 		} else {
-			at(f.Name).Files[f.Name] = f.Text
+			at[f.Name] = f.Text
 		}
 	}
-	for _, d := range m.Declared {
-		if d.removed() {
-			delete(at(d.Name).Declared, d.Name)
-		} else {
-			at(d.Name).Declared[d.Name] = d.Declaration
+	for i, p := range pages {
+		if touched[i] {
+			next.hashes[i] = p.hash()
 		}
-	}
-	for i, changed := range touched {
-		if changed {
-			next.hashes[i] = next.pages[i].hash()
+		if files[i] {
+			next.texts[i] = pressTexts(p.Files)
 		}
 	}
 	return next
@@ -133,18 +173,15 @@
 // compare returns how what config declares differs from the snapshot.
 func (s *Snapshot) compare(config lhconf.Config) []DeclarationChange {
 	var changes []DeclarationChange
-	wanted := declarations(config)
-	for name, d := range wanted {
-		if !d.equal(s.pages[pageOf(name)].Declared[name]) {
+	held := maps.Collect(declarations(&s.declared))
+	for name, d := range declarations(&config) {
+		if !d.equal(held[name]) {
 			changes = append(changes, DeclarationChange{Name: name, Declaration: d})
 		}
+		delete(held, name)
 	}
-	for _, p := range s.pages {
-		for name := range p.Declared {
-			if wanted[name].removed() {
-				changes = append(changes, DeclarationChange{Name: name})
-			}
-		}
+	for name := range held {
+		changes = append(changes, DeclarationChange{Name: name})
 	}
 	slices.SortFunc(changes, func(a, b DeclarationChange) int { return strings.Compare(a.Name, b.Name) })
 	return changes
@@ -176,15 +213,16 @@
 		return next, nil
 	}
 	next := Snapshot{manifest: m, position: at, hashes: [PageCount]string(m.Pages)}
+	pages := held.allPages()
 	for i, hash := range m.Pages {
 		if hash == held.hashes[i] {
-			next.pages[i] = held.pages[i]
 			continue
 		}
-		if next.pages[i], err = readPage(ctx, store, hash); err != nil {
+		if pages[i], err = readPage(ctx, store, hash); err != nil {
 			return Snapshot{}, err
 		}
 	}
+	next.fill(pages)
 	return next, nil
 }
 
