lhwork: let the table of a removed server go

Since tables refer to what is declared, a removed server that holds a flow for a whole shift would have kept the table that declared it in memory, one for each revision that removes some. Removed servers, and the pools of removed services, now hold copies of their own.

--- a/lhplace/server.go
+++ b/lhplace/server.go
@@ -23,6 +23,14 @@
 // Index returns the server's place in the list of its service.
 func (s *Server) Index() int { return int(s.index) }
 
+// Detached returns a copy whose service has no lists, for those who keep a server
+// that was removed: it holds nothing else of its table in memory.
+func (s *Server) Detached() *Server {
+	detached, declared := *s, *s.declared
+	detached.declared, detached.service = &declared, s.service.Detached()
+	return &detached
+}
+
 // Name returns the declared name.
 func (s *Server) Name() string { return s.declared.Name }
 
--- a/lhplace/service.go
+++ b/lhplace/service.go
@@ -23,6 +23,13 @@
 // Name returns the declared name.
 func (s *Service) Name() string { return s.declared.Name }
 
+// Detached returns a copy without servers and kinds, which holds nothing else of its
+// table in memory.
+func (s *Service) Detached() *Service {
+	declared := *s.declared
+	return &Service{declared: &declared, index: s.index}
+}
+
 // Index returns the service's place in the list of its Table.
 func (s *Service) Index() int { return s.index }
 
@@ -65,6 +72,12 @@
 	number uint16
 }
 
+// Detached returns a copy that holds nothing else of its table in memory.
+func (k *Kind) Detached() *Kind {
+	declared := *k.declared
+	return &Kind{declared: &declared, number: k.number}
+}
+
 // Number returns the number that records of flows carry.
 func (k *Kind) Number() uint16 { return k.number }
 
--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -85,6 +85,16 @@
 	return p.servers[i]
 }
 
+// detach lets the table go of which the pool's service is the last remnant.
+func (p *pool) detach() {
+	p.service = p.service.Detached()
+	for _, k := range p.kinds {
+		if k.declared != nil {
+			k.declared = k.declared.Detached()
+		}
+	}
+}
+
 // idle reports whether the pool holds no flow and has had no unit for poolIdle.
 func (p *pool) idle(now time.Duration) bool { return p.held == 0 && now-p.refreshed > poolIdle }
 
--- a/lhwork/state.go
+++ b/lhwork/state.go
@@ -93,11 +93,14 @@
 	for _, server := range p.servers {
 		number := server.declared.Number()
 		if _, ok := s.table.Server(number); !ok {
+			server.declared = server.declared.Detached()
 			s.removed[number] = server
 		}
 	}
 	if service, ok := s.byName(p.service.Name()); ok {
 		s.pools[service.Index()].Store(p)
+	} else {
+		p.detach()
 	}
 }
 
