--- a/lhwork/pool.go
+++ b/lhwork/pool.go
@@ -68,8 +68,14 @@
 	return p.kinds[len(p.kinds)-1]
 }
 
-// server returns the declared server with a number; nil where there is none.
-func (p *pool) server(number uint32) *server {
+// server returns what is known of a server of the service; nil where the pool's
+// table doesn't declare it.
+func (p *pool) server(declared *lhplace.Server) *server {
+	number := declared.Number()
+	if i := declared.Index(); i < len(p.servers) && p.servers[i].declared.Number() == number {
+		return p.servers[i]
+	}
+	// The server is of another revision than the pool.
 	i, ok := slices.BinarySearchFunc(p.servers, number, func(s *server, number uint32) int {
 		return cmp.Compare(s.declared.Number(), number)
 	})
@@ -79,6 +85,16 @@
 	return p.servers[i]
 }
 
+// detach lets the table go of which the pool's service is the last remnant.
+func (p *pool) detach() {
+	p.service = p.service.Detached()
+	for _, k := range p.kinds {
+		if k.declared != nil {
+			k.declared = k.declared.Detached()
+		}
+	}
+}
+
 // idle reports whether the pool holds no flow and has had no unit for poolIdle.
 func (p *pool) idle(now time.Duration) bool { return p.held == 0 && now-p.refreshed > poolIdle }
 
