lhentry: hand everything over before a planned stop ends

Ruled out: a longer bound, which only moves the number of flows. Records whose call is under way count as owed.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -60,6 +60,8 @@
 	store   *lhstore.Client
 	workers []*forwarder
 	reports reports
+	// underWay is how many records are being handed over at this moment.
+	underWay atomic.Int64
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
 }
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -143,8 +143,13 @@
 func (e *Entry) handOverTo(ctx context.Context, m lhflow.MemberID) bool {
 	for e.engine.Pending(m) > 0 {
 		batch := e.engine.Take(m, batchSize)
-		if err := e.node.Push(ctx, m, batch, false); err != nil {
+		e.underWay.Store(int64(len(batch)))
+		err := e.node.Push(ctx, m, batch, false)
+		if err != nil {
 			e.engine.Return(m, batch)
+		}
+		e.underWay.Store(0)
+		if err != nil {
 			return false
 		}
 	}
--- a/lhentry/state.go
+++ b/lhentry/state.go
@@ -57,7 +57,7 @@
 
 // pending returns how many records are to be handed over to all members.
 func (e *Entry) pending(view *lhflow.View) uint64 {
-	sum := 0
+	sum := int(e.underWay.Load())
 	for _, m := range view.Members {
 		sum += e.engine.Pending(m.ID)
 	}
--- a/lhentry/stop.go
+++ b/lhentry/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhpeer"
 )
 
 // quietTime is how long no packet may have come for the VM to be done.
@@ -18,12 +19,25 @@
 	ctx, cancel := context.WithTimeout(kill, e.settings.Stop)
 	defer cancel()
 	e.node.Leave()
-	e.await(ctx, e.handedOver)
+	deadline := e.now() + e.settings.Stop/2
+	e.await(ctx, func() bool {
+		e.node.SetBudget(max(e.settings.ControlRate, e.needed(deadline)))
+		return e.handedOver()
+	})
 	e.node.Left(ctx)
 	e.awaitQuiet(ctx)
 	e.log.Info().Msg("left")
 }
 
+// needed returns the bytes a second at which hand-over is complete by a deadline. A
+// planned stop goes above the control budget rather than leave flows behind: after
+// the next one, nobody would know them.
+func (e *Entry) needed(deadline time.Duration) int {
+	left := max(deadline-e.now(), time.Second)
+	bytes := e.pending(e.engine.View()) * lhpeer.RecordBytes
+	return int(float64(bytes) / left.Seconds())
+}
+
 // handedOver reports whether the VM is seen as leaving and owes no member a record.
 func (e *Entry) handedOver() bool {
 	view := e.engine.View()
--- a/lhpeer/budget.go
+++ b/lhpeer/budget.go
@@ -14,8 +14,13 @@
 // DefaultBudget is a VM's limit of control traffic in bytes per second.
 const DefaultBudget = 3000
 
-// budgetBurst is the length of time whose budget may be spent at once.
-const budgetBurst = time.Second
+const (
+	// budgetBurst is the length of time whose budget may be spent at once.
+	budgetBurst = time.Second
+	// leastPart is the part of the budget, one in so many, that hand-over gets
+	// whatever exchanges take.
+	leastPart = 4
+)
 
 // budget counts the bytes of control traffic and paces what can wait. Exchanges
 // never wait, but what they write delays hand-over.
@@ -28,8 +33,15 @@
 	if bytesPerSecond <= 0 {
 		bytesPerSecond = DefaultBudget
 	}
-	burst := int(budgetBurst.Seconds() * float64(bytesPerSecond))
-	return &budget{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), burst)}
+	b := &budget{limiter: rate.NewLimiter(0, 0)}
+	b.set(bytesPerSecond)
+	return b
+}
+
+// set changes the budget to so many bytes per second.
+func (b *budget) set(bytesPerSecond int) {
+	b.limiter.SetBurst(int(budgetBurst.Seconds() * float64(bytesPerSecond)))
+	b.limiter.SetLimit(rate.Limit(bytesPerSecond))
 }
 
 // spend counts n bytes as written. It may leave the budget overdrawn.
@@ -43,9 +55,18 @@
 	}
 }
 
-// wait returns once the budget is no longer overdrawn.
-func (b *budget) wait(ctx context.Context) error {
-	return lhcode.Wrap(lhcode.PeerUnreachable, b.limiter.Wait(ctx), "waiting for the control budget")
+// wait returns once the budget is no longer overdrawn, or after the time in which
+// the least part of the budget lets n bytes through. Without the latter a budget
+// that exchanges use up would keep hand-over from ever going on.
+func (b *budget) wait(ctx context.Context, n int) error {
+	longest := time.Duration(leastPart * float64(n) / float64(b.limiter.Limit()) * float64(time.Second))
+	waiting, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	if b.limiter.Wait(waiting) != nil {
+		// The limiter does not wait at all where it would wait for longer.
+		<-waiting.Done()
+	}
+	return lhcode.Wrap(lhcode.PeerUnreachable, ctx.Err(), "waiting for the control budget")
 }
 
 // countedConn counts the bytes of a connection against a budget.
--- a/lhpeer/handover.go
+++ b/lhpeer/handover.go
@@ -15,6 +15,8 @@
 const (
 	// recordsPerCall is how many records one call hands over.
 	recordsPerCall = 256
+	// RecordBytes is what a record takes in a hand-over, rounded up.
+	RecordBytes = 24
 	// handOverTimeout limits one call.
 	handOverTimeout = 5 * time.Second
 )
@@ -47,13 +49,16 @@
 	return nil
 }
 
+// SetBudget changes the limit of control traffic to so many bytes per second.
+func (n *Node) SetBudget(bytesPerSecond int) { n.budget.set(bytesPerSecond) }
+
 // pushPart makes one call of a hand-over. A call without records is small, and a
 // member waits for it before it can take its part of the work, so it is not paced.
 func (n *Node) pushPart(
 	ctx context.Context, control netip.AddrPort, to lhflow.MemberID, part []lhflow.Record, done bool,
 ) error {
 	if len(part) > 0 {
-		if err := n.budget.wait(ctx); err != nil {
+		if err := n.budget.wait(ctx, len(part)*RecordBytes); err != nil {
 			return err
 		}
 	}
