lhkey: halve the bytes of a handshake, and mend the test's connections

A handshake counts against the budget for control traffic, and a VM whose peers are many opens a connection for most heartbeats. More than half of its bytes were the ML-KEM part of the default key exchange; peers now agree on X25519 alone. What peers tell each other need not stay secret for decades, and the certificates are ECDSA either way.

TestHandshake hung once: where a server refuses a client, both sides may write at the same moment, and net.Pipe has no buffers.

--- a/lhkey/ring.go
+++ b/lhkey/ring.go
@@ -21,6 +21,10 @@
 	protocolHTTP1 = "http/1.1"
 )
 
+// peerCurves are the key exchanges between peers. A hybrid with ML-KEM would double
+// the bytes of a handshake, which count against the budget for control traffic.
+var peerCurves = []tls.CurveID{tls.X25519}
+
 // Ring is the keys of one VM, as they stand in its files. It is made by Open.
 type Ring struct {
 	files Files
@@ -72,12 +76,13 @@
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			k := r.current()
 			return &tls.Config{
-				MinVersion:   tls.VersionTLS13,
-				Time:         r.clock,
-				NextProtos:   []string{protocolHTTP2},
-				Certificates: []tls.Certificate{k.certificate},
-				ClientAuth:   tls.RequireAndVerifyClientCert,
-				ClientCAs:    k.authorities,
+				MinVersion:       tls.VersionTLS13,
+				CurvePreferences: peerCurves,
+				Time:             r.clock,
+				NextProtos:       []string{protocolHTTP2},
+				Certificates:     []tls.Certificate{k.certificate},
+				ClientAuth:       tls.RequireAndVerifyClientCert,
+				ClientCAs:        k.authorities,
 				// A member seldom connects anew, so tickets would be sent in vain.
 				SessionTicketsDisabled: true,
 				VerifyConnection:       r.verifyName,
@@ -103,12 +108,13 @@
 func (r *Ring) Handshake(ctx context.Context, conn net.Conn) (*tls.Conn, error) {
 	k := r.current()
 	secure := tls.Client(conn, &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Time:         r.clock,
-		NextProtos:   []string{protocolHTTP2},
-		Certificates: []tls.Certificate{k.certificate},
-		RootCAs:      k.authorities,
-		ServerName:   r.name,
+		MinVersion:       tls.VersionTLS13,
+		CurvePreferences: peerCurves,
+		Time:             r.clock,
+		NextProtos:       []string{protocolHTTP2},
+		Certificates:     []tls.Certificate{k.certificate},
+		RootCAs:          k.authorities,
+		ServerName:       r.name,
 	})
 	if err := secure.HandshakeContext(ctx); err != nil {
 		r.failedHandshakes.Add(1)
--- a/lhkey/ring_test.go
+++ b/lhkey/ring_test.go
@@ -19,12 +19,12 @@
 // now is the time of all tests.
 var now = time.Now()
 
-func newAuthority(t *testing.T, group string) *Authority {
+func newAuthority(t testing.TB, group string) *Authority {
 	t.Helper()
 	return newAuthorityAt(t, group, now)
 }
 
-func newAuthorityAt(t *testing.T, group string, at time.Time) *Authority {
+func newAuthorityAt(t testing.TB, group string, at time.Time) *Authority {
 	t.Helper()
 	a, err := NewAuthority(group, at)
 	assert.NilError(t, err)
@@ -32,7 +32,7 @@
 }
 
 // save writes the files of a VM into a new folder.
-func save(t *testing.T, a *Authority, group string, at time.Time) Files {
+func save(t testing.TB, a *Authority, group string, at time.Time) Files {
 	t.Helper()
 	dir := t.TempDir()
 	authority, err := a.Pair()
@@ -45,7 +45,7 @@
 }
 
 // open opens files whose certificates were made at a time, as if it still were.
-func open(t *testing.T, files Files, group string, at time.Time) *Ring {
+func open(t testing.TB, files Files, group string, at time.Time) *Ring {
 	t.Helper()
 	keys, err := readKeys(files, GroupName(group), at)
 	assert.NilError(t, err)
@@ -58,7 +58,26 @@
 // handshake connects two rings and returns how that ended at each side.
 func handshake(t *testing.T, client, server *Ring) (clientErr, serverErr error) {
 	t.Helper()
-	a, b := net.Pipe()
+	a, b := connect(t)
+	return handshakeOn(t, client, server, a, b)
+}
+
+// connect returns both ends of a connection. Both sides of a handshake may write at
+// the same moment, so it has to have buffers, which net.Pipe has not.
+func connect(t testing.TB) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	near, err = net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	far, err = listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return near, far
+}
+
+func handshakeOn(t testing.TB, client, server *Ring, a, b net.Conn) (clientErr, serverErr error) {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() {
 		conn := tls.Server(b, server.Server())
