lhplace: build a table from the one before it

The configurations of two revisions share the slices in which nothing changed. Next takes over from the table before it what was built from these: all of it where the files declare the same, services, kinds and indices where a server was drained, and services and kinds where one was added, removed or moved. Servers of one service at one address are linked, which spares the index by port and the map of shared addresses. lhwork passes over services that both tables have.

Ruled out: taking single places out of the indices and putting others in, for added and removed servers: hosts that several servers share make it intricate, and a miss would drop packets. Left undone for now.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -190,10 +190,11 @@
 // SetConfig puts a configuration in force. A lower revision than the one in force
 // is passed over.
 func (e *Entry) SetConfig(cfg lhconf.Config) {
-	if cfg.Revision < e.table.Load().Revision() {
+	before := e.table.Load()
+	if cfg.Revision < before.Revision() {
 		return
 	}
-	table := lhplace.NewTable(&cfg)
+	table := before.Next(&cfg)
 	e.work.SetTable(e.now(), table)
 	e.table.Store(table)
 	e.log.Info().Uint64("revision", cfg.Revision).Msg("configuration in force")
--- a/lhentry/heap_test.go
+++ b/lhentry/heap_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
@@ -52,6 +54,28 @@
 	}
 }
 
+// BenchmarkNextTable gives the time of the tables of a revision that follows another:
+// one that declares the same, one that drains a server and one that removes one.
+func BenchmarkNextTable(b *testing.B) {
+	cfg := manyServices(16000)
+	slices.SortFunc(cfg.Services, func(a, b lhconf.Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(cfg.Servers, func(a, b lhconf.BackendServer) int { return strings.Compare(a.Name, b.Name) })
+	drained, removed := *cfg, *cfg
+	drained.Servers = slices.Clone(cfg.Servers)
+	drained.Servers[7].State = lhconf.Draining
+	removed.Servers = slices.Delete(slices.Clone(cfg.Servers), 7, 8)
+	before := lhplace.NewTable(cfg)
+	for name, next := range map[string]*lhconf.Config{"same": cfg, "drained": &drained, "removed": &removed} {
+		b.Run(name, func(b *testing.B) {
+			work := &lhwork.Controller{}
+			work.SetTable(0, before)
+			for b.Loop() {
+				work.SetTable(0, before.Next(next))
+			}
+		})
+	}
+}
+
 func heap() uint64 {
 	var m runtime.MemStats
 	runtime.GC()
--- a/lhplace/index.go
+++ b/lhplace/index.go
@@ -67,9 +67,8 @@
 	return hashBytes(address, uint64(proto)<<16|uint64(port))
 }
 
-// hashSource returns the hash of where a server of a service sends from.
-func hashSource(s *Service, address netip.AddrPort) uint64 {
-	return hashBytes(address.Addr().As16(), uint64(s.index+1)<<16|uint64(address.Port()))
+func hashSource(s *Service, a netip.Addr) uint64 {
+	return hashBytes(a.As16(), uint64(s.index+1))
 }
 
 func hashHost(a netip.Addr) uint64 { return hashBytes(a.As16(), 0) }
--- a/lhplace/server.go
+++ b/lhplace/server.go
@@ -15,6 +15,9 @@
 	number uint32
 	// index is the server's place in the service's list.
 	index uint32
+	// sibling is one more than the place of another server of the service at the same
+	// address, of which an index finds the first; 0 where there is none.
+	sibling uint32
 }
 
 // Number returns the number that identifies the server for ever.
@@ -40,11 +43,6 @@
 // Address returns where the server receives Geneve packets.
 func (s *Server) Address() netip.AddrPort { return s.declared.Address }
 
-// source returns where the server sends from, unless its port varies.
-func (s *Server) source() netip.AddrPort {
-	return netip.AddrPortFrom(s.declared.Address.Addr().Unmap(), s.declared.Address.Port())
-}
-
 // Report returns the URL of the server's load report; empty where there is none.
 func (s *Server) Report() string { return s.declared.Report }
 
--- a/lhplace/table.go
+++ b/lhplace/table.go
@@ -21,28 +21,120 @@
 	servers []Server
 	// services finds services in list by address, port and protocol.
 	services index
-	// numbers finds servers by number, hosts one of each address, sources by service,
-	// address and port, and alone one of each service and address.
-	numbers, hosts, sources, alone index
-	// shared holds the servers in alone that are not the only one of their service
-	// at their address.
-	shared map[*Server]bool
+	// numbers finds servers by number, hosts one of each address, and sources one of
+	// each service and address.
+	numbers, hosts, sources index
+	// declared is what the table was built from.
+	declared lhconf.Config
 }
 
 // NewTable builds the table of a configuration. Kinds and servers of a service
 // that is not declared are left out. The table refers to what the configuration
 // declares, which must not be changed afterwards.
 func NewTable(cfg *lhconf.Config) *Table {
-	t := &Table{}
 	if cfg == nil {
-		return t
+		return &Table{}
 	}
-	t.revision = cfg.Revision
-	t.next = cfg.NextNumber
-	byName := t.addServices(cfg.Services)
-	t.addServers(cfg.Servers, byName)
-	addKinds(cfg.Kinds, byName)
-	return t
+	return (&Table{}).Next(cfg)
+}
+
+// Next is NewTable for a configuration that follows the table's. The new table
+// takes over what was built from slices that both configurations share.
+func (t *Table) Next(cfg *lhconf.Config) *Table {
+	next := &Table{declared: *cfg, revision: cfg.Revision}
+	next.declared.Files = nil
+	if shares(t.declared.Services, cfg.Services) && shares(t.declared.Servers, cfg.Servers) && shares(t.declared.Kinds, cfg.Kinds) {
+		next.takeOver(t)
+	} else {
+		next.build(t)
+	}
+	next.next = cfg.NextNumber
+	for i := range next.servers {
+		next.next = max(next.next, next.servers[i].number+1)
+	}
+	return next
+}
+
+// shares reports whether two slices are the same part of the same array.
+func shares[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// takeOver makes the table one of the same services, servers and kinds as before.
+func (t *Table) takeOver(before *Table) {
+	t.list, t.servers, t.services = before.list, before.servers, before.services
+	t.numbers, t.hosts, t.sources = before.numbers, before.hosts, before.sources
+}
+
+// finder finds the service with a name.
+type finder func(name string) (*Service, bool)
+
+// build makes the table from what is declared.
+func (t *Table) build(before *Table) {
+	same := shares(t.declared.Services, before.declared.Services)
+	var find finder
+	var kept []Server
+	if same {
+		t.copyServices(before)
+		find, kept = t.find, before.servers
+	} else {
+		find = t.addServices()
+	}
+	t.addServers(find, kept)
+	if t.places(before) {
+		t.numbers, t.hosts, t.sources = before.numbers, before.hosts, before.sources
+	} else {
+		t.indexServers()
+	}
+	if same && shares(t.declared.Kinds, before.declared.Kinds) {
+		t.copyKinds(before)
+	} else {
+		t.addKinds(find)
+	}
+}
+
+// copyServices takes over the services, without their servers and kinds.
+func (t *Table) copyServices(before *Table) {
+	t.services = before.services
+	all := make([]Service, len(before.list))
+	t.list = make([]*Service, len(before.list))
+	for i, s := range before.list {
+		all[i] = Service{declared: s.declared, index: i}
+		t.list[i] = &all[i]
+	}
+}
+
+func (t *Table) copyKinds(before *Table) {
+	for i, s := range before.list {
+		t.list[i].kinds = s.kinds
+	}
+}
+
+// find is a finder that needs no more than the list.
+func (t *Table) find(name string) (*Service, bool) {
+	i, ok := slices.BinarySearchFunc(t.list, name, func(s *Service, name string) int { return cmp.Compare(s.Name(), name) })
+	if !ok {
+		return nil, false
+	}
+	return t.list[i], true
+}
+
+// places reports whether the servers have the places, numbers, services and addresses
+// of those before. It then takes over which are siblings.
+func (t *Table) places(before *Table) bool {
+	if !shares(t.declared.Services, before.declared.Services) || len(t.servers) != len(before.servers) {
+		return false
+	}
+	for i := range t.servers {
+		a, b := &t.servers[i], &before.servers[i]
+		if a.number != b.number || a.service.index != b.service.index || a.Address() != b.Address() {
+			return false
+		}
+	}
+	for i := range t.servers {
+		t.servers[i].sibling = before.servers[i].sibling
+	}
+	return true
 }
 
 // Revision returns the revision that the table was built from.
@@ -90,14 +182,14 @@
 	if s == nil {
 		return 0, false
 	}
-	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
-	for h := hashSource(s, addr); ; h++ {
+	a := addr.Addr().Unmap()
+	for h := hashSource(s, a); ; h++ {
 		place, ok := t.sources.at(h)
 		if !ok {
-			return t.onlyAt(addr.Addr(), s)
+			return 0, false
 		}
-		if found := &t.servers[place]; found.service == s && found.source() == addr {
-			return found.Number(), true
+		if found := &t.servers[place]; found.service == s && found.Address().Addr().Unmap() == a {
+			return t.sibling(found, addr.Port())
 		}
 	}
 }
@@ -110,31 +202,30 @@
 		if !ok {
 			return false
 		}
-		if t.servers[place].source().Addr() == a {
+		if t.servers[place].Address().Addr().Unmap() == a {
 			return true
 		}
 	}
 }
 
-// onlyAt returns the number of the only server that s has at an address.
-func (t *Table) onlyAt(a netip.Addr, s *Service) (uint32, bool) {
-	for h := hashSource(s, netip.AddrPortFrom(a, 0)); ; h++ {
-		place, ok := t.alone.at(h)
-		if !ok {
-			return 0, false
-		}
-		found := &t.servers[place]
-		if found.service != s || found.source().Addr() != a {
-			continue
+// sibling returns the number of that server with a port, first and its siblings being
+// those of a service at an address; a server without siblings has any port.
+func (t *Table) sibling(first *Server, port uint16) (uint32, bool) {
+	if first.sibling == 0 {
+		return first.number, true
+	}
+	for s := first; ; s = &t.servers[s.sibling-1] {
+		if s.Address().Port() == port {
+			return s.number, true
 		}
-		if t.shared[found] {
+		if s.sibling == 0 {
 			return 0, false
 		}
-		return found.Number(), true
 	}
 }
 
-func (t *Table) addServices(declared []lhconf.Service) map[string]*Service {
+func (t *Table) addServices() finder {
+	declared := t.declared.Services
 	byName := make(map[string]*Service, len(declared))
 	all := make([]Service, len(declared))
 	t.list = make([]*Service, len(declared))
@@ -153,24 +244,33 @@
 			return t.list[place].at(address, port, proto)
 		})
 	}
-	return byName
+	return func(name string) (*Service, bool) {
+		s, ok := byName[name]
+		return s, ok
+	}
 }
 
-func (t *Table) addServers(declared []lhconf.BackendServer, byName map[string]*Service) {
+// addServers enters the declared servers. Those of kept stand behind the services that
+// they had; they are looked through in the order of names.
+func (t *Table) addServers(find finder, kept []Server) {
+	declared := t.declared.Servers
 	t.servers = make([]Server, 0, len(declared))
 	counts := make([]int, len(t.list))
 	for i := range declared {
 		d := &declared[i]
-		s, ok := byName[d.Service]
-		if !ok {
+		for len(kept) > 0 && kept[0].Name() < d.Name {
+			kept = kept[1:]
+		}
+		var s *Service
+		if len(kept) > 0 && kept[0].Name() == d.Name && kept[0].declared.Service == d.Service {
+			s = t.list[kept[0].service.index]
+		} else if s, _ = find(d.Service); s == nil {
 			continue
 		}
 		t.servers = append(t.servers, Server{declared: d, service: s, number: d.Number})
-		t.next = max(t.next, d.Number+1)
 		counts[s.index]++
 	}
 	t.listServers(counts)
-	t.indexServers()
 }
 
 // listServers gives each service the list of its servers, of which counts has the
@@ -194,46 +294,37 @@
 
 func (t *Table) indexServers() {
 	count := len(t.servers)
-	t.numbers, t.hosts, t.sources, t.alone = newIndex(count), newIndex(count), newIndex(count), newIndex(count)
-	t.shared = map[*Server]bool{}
+	t.numbers, t.hosts, t.sources = newIndex(count), newIndex(count), newIndex(count)
 	for i := range t.servers {
-		t.numbers.put(hashNumber(t.servers[i].Number()), i, func(place int) bool {
-			return t.servers[place].Number() == t.servers[i].Number()
+		s := &t.servers[i]
+		address := s.Address().Addr().Unmap()
+		t.numbers.put(hashNumber(s.number), i, func(place int) bool {
+			return t.servers[place].number == s.number
 		})
-		t.addSource(i)
-	}
-}
-
-// addSource enters a server by its address, with its own port and with any.
-func (t *Table) addSource(place int) {
-	s := &t.servers[place]
-	address := s.source()
-	host := netip.AddrPortFrom(address.Addr(), 0)
-	t.hosts.put(hashHost(address.Addr()), place, func(other int) bool {
-		return t.servers[other].source().Addr() == address.Addr()
-	})
-	t.sources.put(hashSource(s.service, address), place, func(other int) bool {
-		return t.servers[other].service == s.service && t.servers[other].source() == address
-	})
-	_, shared := t.alone.put(hashSource(s.service, host), place, func(other int) bool {
-		return t.servers[other].service == s.service && t.servers[other].source().Addr() == address.Addr()
-	})
-	if shared {
-		t.shared[s] = true
+		t.hosts.put(hashHost(address), i, func(place int) bool {
+			return t.servers[place].Address().Addr().Unmap() == address
+		})
+		first, found := t.sources.put(hashSource(s.service, address), i, func(place int) bool {
+			return t.servers[place].service == s.service && t.servers[place].Address().Addr().Unmap() == address
+		})
+		if found {
+			s.sibling = uint32(first + 1)
+		}
 	}
 }
 
-func addKinds(declared []lhconf.Kind, byName map[string]*Service) {
+func (t *Table) addKinds(find finder) {
+	declared := t.declared.Kinds
 	numbers := numberKinds(declared)
 	all := make([]Kind, len(declared))
 	for i := range declared {
 		k := &all[i]
 		k.declared, k.number = &declared[i], numbers[i]
-		if s, ok := byName[k.declared.Service]; ok {
+		if s, ok := find(k.declared.Service); ok {
 			s.kinds = append(s.kinds, k)
 		}
 	}
-	for _, s := range byName {
+	for _, s := range t.list {
 		slices.SortStableFunc(s.kinds, func(a, b *Kind) int { return cmp.Compare(b.prefixLength(), a.prefixLength()) })
 	}
 }
--- a/lhwork/state.go
+++ b/lhwork/state.go
@@ -111,7 +111,11 @@
 			s.cold[number] = started
 		}
 	}
-	for _, service := range s.table.Services() {
+	known := old.table.Services()
+	for i, service := range s.table.Services() {
+		if i < len(known) && known[i] == service {
+			continue
+		}
 		for _, d := range service.Servers() {
 			before, ok := old.table.Server(d.Number())
 			if !ok || d.Serving() && !before.Serving() {
