lhstore: find the pages of declarations without joining names

Each change derives the pages it touches from 57,000 declarations, whose names were joined from two parts for their hashes alone. The hash is now carried over the parts.

--- a/lhstore/declaration.go
+++ b/lhstore/declaration.go
@@ -31,21 +31,33 @@
 	Declaration
 }
 
+// declarationName is the name of a declaration in its two parts, which need not be
+// joined to find its page.
+type declarationName struct{ sort, name string }
+
+// String returns the whole name.
+func (n declarationName) String() string { return n.sort + n.name }
+
+// page returns the index of the declaration's page.
+func (n declarationName) page() int {
+	return int(hashName(hashName(hashStart, n.sort), n.name) % PageCount)
+}
+
 // declarations yields what a configuration declares, by name.
-func declarations(config *lhconf.Config) iter.Seq2[string, Declaration] {
-	return func(yield func(string, Declaration) bool) {
+func declarations(config *lhconf.Config) iter.Seq2[declarationName, Declaration] {
+	return func(yield func(declarationName, Declaration) bool) {
 		for i := range config.Services {
-			if d := &config.Services[i]; !yield(serviceName+d.Name, Declaration{Service: d}) {
+			if d := &config.Services[i]; !yield(declarationName{serviceName, d.Name}, Declaration{Service: d}) {
 				return
 			}
 		}
 		for i := range config.Servers {
-			if d := &config.Servers[i]; !yield(serverName+d.Name, Declaration{Server: d}) {
+			if d := &config.Servers[i]; !yield(declarationName{serverName, d.Name}, Declaration{Server: d}) {
 				return
 			}
 		}
 		for i := range config.Kinds {
-			if d := &config.Kinds[i]; !yield(kindName+d.Name, Declaration{Kind: d}) {
+			if d := &config.Kinds[i]; !yield(declarationName{kindName, d.Name}, Declaration{Kind: d}) {
 				return
 			}
 		}
--- a/lhstore/page.go
+++ b/lhstore/page.go
@@ -29,14 +29,18 @@
 	Declared map[string]Declaration `json:"declared,omitempty"`
 }
 
-// pageOf returns the index of the page for the name of a file or declaration: its
-// 32-bit FNV-1a hash modulo the number of pages.
-func pageOf(name string) int {
-	h := uint32(2166136261)
-	for i := range len(name) {
-		h = (h ^ uint32(name[i])) * 16777619
+// hashStart is the hash of no name.
+const hashStart uint32 = 2166136261
+
+// pageOf returns the index of the page for the name of a file or declaration.
+func pageOf(name string) int { return int(hashName(hashStart, name) % PageCount) }
+
+// hashName carries the 32-bit FNV-1a hash of a name on by a part of it.
+func hashName(hash uint32, part string) uint32 {
+	for i := range len(part) {
+		hash = (hash ^ uint32(part[i])) * 16777619
 	}
-	return int(h % PageCount)
+	return hash
 }
 
 // hash returns the name of the page's contents; empty for an empty page.
--- a/lhstore/snapshot.go
+++ b/lhstore/snapshot.go
@@ -71,8 +71,8 @@
 		}
 	}
 	for name, d := range declarations(&s.declared) {
-		if i := pageOf(name); wanted[i] {
-			pages[i].Declared[name] = d
+		if i := name.page(); wanted[i] {
+			pages[i].Declared[name.String()] = d
 		}
 	}
 	return pages
@@ -176,12 +176,12 @@
 	held := maps.Collect(declarations(&s.declared))
 	for name, d := range declarations(&config) {
 		if !d.equal(held[name]) {
-			changes = append(changes, DeclarationChange{Name: name, Declaration: d})
+			changes = append(changes, DeclarationChange{Name: name.String(), Declaration: d})
 		}
 		delete(held, name)
 	}
 	for name := range held {
-		changes = append(changes, DeclarationChange{Name: name})
+		changes = append(changes, DeclarationChange{Name: name.String()})
 	}
 	slices.SortFunc(changes, func(a, b DeclarationChange) int { return strings.Compare(a.Name, b.Name) })
 	return changes
