--- a/cmd/laburnumhollow/failure_test.go
+++ b/cmd/laburnumhollow/failure_test.go
@@ -124,6 +124,21 @@
 	f.verify(h, "after")
 }
 
+// TestStopsInARow stops three of five VMs as planned, each as soon as the one before
+// has ended. No flow is left with VMs that are gone.
+func TestStopsInARow(t *testing.T) {
+	f := &fleet{t: t, dir: t.TempDir(), control: "500B/s"}
+	f.start("sapporo-a", "sapporo-b", "ebetsu", "sapporo-a", "sapporo-b")
+	h := f.hold(300)
+	for _, p := range f.vms[:3] {
+		f.signal(p, syscall.SIGTERM)
+		f.awaitLog(p, "leaving")
+		f.routeWithout(p)
+		assert.NilError(t, f.awaitEnd(p))
+	}
+	f.verify(h, "after")
+}
+
 func (f *fleet) routeWithout(out *process) {
 	var rest []*process
 	for _, p := range f.running() {
