--- a/lhops/dump.go
+++ b/lhops/dump.go
@@ -62,8 +62,8 @@
 // Ready reports whether the VM takes packets from the fabric.
 func (h Health) Ready() bool { return h.State == Serving }
 
-// Dump is the state of one process at one moment. Flows are counted as the VM
-// holds their records; a flow has records at two owners.
+// Dump is the state of one process at one moment. Services and kinds of work count a
+// flow at its first owner alone; the table counts records, of which a flow has two.
 type Dump struct {
 	VM         string `json:"vm"`
 	DataCentre string `json:"datacentre"`
