lhpeer: let a raised budget shorten a wait, and lhentry: hold packets to what peers can pass on

Two VMs left at their bound of 10 s with records still owed: the wait for the budget was worked out once, from the budget before it was raised, and then lasted longer than the stop.

Cause 2, found by reading: an inner packet was held to what fits on the way to a backend server, but the way to another VM takes 48 bytes more, so a full packet that had to be passed on did not fit the MTU. Change: packets from outside are held to the smaller size on arrival, and their sender is told, caller or backend server (TestTooBig).

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -205,14 +205,15 @@
 // now returns the monotonic time since the process started.
 func (e *Entry) now() time.Duration { return time.Since(e.started) }
 
-// innerLimit returns the size of the largest inner packet that fits into the MTU
-// on the way to an address, in bytes.
-func (e *Entry) innerLimit(to netip.AddrPort) int {
+// innerLimit returns the size of the largest inner packet that fits into the MTU, in
+// bytes. Any packet may have to pass through another VM, which takes more room than
+// the way to a backend server.
+func (e *Entry) innerLimit() int {
 	outer := outerIPv4
-	if to.Addr().Is6() && !to.Addr().Is4In6() {
+	if e.Data().Addr().Is6() {
 		outer = outerIPv6
 	}
-	return e.settings.MTU - outer - lhwire.Overhead
+	return e.settings.MTU - outer - lhwire.RelayOverhead
 }
 
 // Run takes part in the group and forwards packets until ctx ends, and then stops
--- a/lhentry/forward.go
+++ b/lhentry/forward.go
@@ -57,6 +57,10 @@
 		f.faults[fault].Add(1)
 		return
 	}
+	if limit := f.entry.innerLimit(); p.Sender() == 0 && len(p.Inner()) > limit {
+		f.tooBig(p, &ev, limit)
+		return
+	}
 	if fault := p.Forward(); fault != lhwire.FaultNone {
 		f.faults[fault].Add(1)
 		return
@@ -64,6 +68,19 @@
 	f.carryOut(p, &ev, f.entry.engine.Handle(ev))
 }
 
+// tooBig tells the sender of a packet how large its packets may be.
+func (f *forwarder) tooBig(p *lhwire.Packet, ev *lhflow.Event, limit int) {
+	f.add(CountTooBig)
+	inner := lhwire.TooBig(p, uint16(limit))
+	if ev.Source == lhflow.FromCaller {
+		f.answer(inner)
+		return
+	}
+	if server, ok := f.entry.table.Load().Server(ev.Server); ok && inner != nil {
+		f.send(inner, server.Address())
+	}
+}
+
 // identify fills in who sent the packet. It reports false for a source that is
 // no known member, fabric or backend server address.
 func (f *forwarder) identify(p *lhwire.Packet, from netip.AddrPort, ev *lhflow.Event) bool {
@@ -165,11 +182,6 @@
 	if p.Flags().Has(lhflow.SYN) {
 		inner = lhwire.StripSYNData(p)
 	}
-	if limit := f.entry.innerLimit(server.Address()); len(inner) > limit {
-		f.add(CountTooBig)
-		f.answer(lhwire.TooBig(p, uint16(limit)))
-		return
-	}
 	f.add(CountToServer)
 	f.send(inner, server.Address())
 }
--- a/lhentry/place_test.go
+++ b/lhentry/place_test.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
 	"github.com/laburnumhollow/laburnumhollow/lhplace"
+	"github.com/laburnumhollow/laburnumhollow/lhwire"
 )
 
 // TestServersOfOtherRevisions tells servers that were removed from those that a
@@ -55,3 +56,16 @@
 	assert.Equal(t, worker.counts[CountAhead].Load(), uint64(1))
 	assert.Equal(t, worker.counts[CountReset].Load(), uint64(0))
 }
+
+// TestTooBig holds packets to what fits on the way between two VMs, and tells the
+// sender of a larger one.
+func TestTooBig(t *testing.T) {
+	f := newForwardBench(t, 64, 1)
+	worker := newForwarder(f.entry, f.entry.socket.Handles()[0])
+	for more, count := range []uint64{0, 1} {
+		room := f.entry.settings.MTU - outerIPv4 - lhwire.RelayOverhead - 28
+		data := lhwire.Datagram{From: f.meter.Senders[0].Address(), To: benchService, Data: make([]byte, room+more)}.Inner()
+		worker.packet(lhwire.TagKey{}.AppendGeneve(nil, data, lhflow.ID{}, 0, lhflow.Relay{}), f.meter.Senders[0].Address(), f.entry.now())
+		assert.Equal(t, worker.counts[CountTooBig].Load(), count)
+	}
+}
--- a/lhflow/relay.go
+++ b/lhflow/relay.go
@@ -57,6 +57,9 @@
 	en := copied(ev, mine, known)
 	e.storeLocked(s, ev.ID, en)
 	s.mu.Unlock()
+	if known && mine.has(counted) && !en.has(counted) {
+		e.tell(ev.Now, Ended, &mine, ev.Key.Caller)
+	}
 	e.tellSkipped(ev, view)
 	next := e.next(view, ev.ID)
 	if next == 0 || next == ev.Peer || next == ev.Relay.Origin || ev.Relay.Hops >= maxHops {
--- a/lhpeer/budget.go
+++ b/lhpeer/budget.go
@@ -17,9 +17,11 @@
 const (
 	// budgetBurst is the length of time whose budget may be spent at once.
 	budgetBurst = time.Second
-	// leastPart is the part of the budget, one in so many, that hand-over gets
+	// LeastPart is the part of the budget, one in so many, that hand-over gets
 	// whatever exchanges take.
-	leastPart = 4
+	LeastPart = 4
+	// budgetTick is the time between two looks at an overdrawn budget.
+	budgetTick = 20 * time.Millisecond
 )
 
 // budget counts the bytes of control traffic and paces what can wait. Exchanges
@@ -56,17 +58,22 @@
 }
 
 // wait returns once the budget is no longer overdrawn, or after the time in which
-// the least part of the budget lets n bytes through. Without the latter a budget
-// that exchanges use up would keep hand-over from ever going on.
+// its least part lets n bytes through. Without the latter a budget that exchanges use
+// up would keep hand-over from ever going on. A budget that is raised meanwhile
+// shortens the wait.
 func (b *budget) wait(ctx context.Context, n int) error {
-	longest := time.Duration(leastPart * float64(n) / float64(b.limiter.Limit()) * float64(time.Second))
-	waiting, cancel := context.WithTimeout(ctx, longest)
-	defer cancel()
-	if b.limiter.Wait(waiting) != nil {
-		// The limiter does not wait at all where it would wait for longer.
-		<-waiting.Done()
+	ticker := time.NewTicker(budgetTick)
+	defer ticker.Stop()
+	passed := 0.0
+	for passed < float64(n) && !b.limiter.Allow() {
+		select {
+		case <-ctx.Done():
+			return lhcode.Wrap(lhcode.PeerUnreachable, ctx.Err(), "waiting for the control budget")
+		case <-ticker.C:
+		}
+		passed += float64(b.limiter.Limit()) / LeastPart * budgetTick.Seconds()
 	}
-	return lhcode.Wrap(lhcode.PeerUnreachable, ctx.Err(), "waiting for the control budget")
+	return nil
 }
 
 // countedConn counts the bytes of a connection against a budget.
