lhflow: tell a joining member that it has all only once all is listed

Found by reading: SetView put the view in force before it listed the records to hand over, which takes 150 ms for half a million flows. Meanwhile nothing seemed to be pending, so a joining member could be told that it had everything, and a leaving one could think that it owed nothing. Hand-over now goes by the last view that is listed whole. No test brings the moment about.

--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -127,7 +127,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		view := e.engine.View()
+		view := e.engine.Listed()
 		owed := e.node.Unreleased()
 		for _, m := range view.Members {
 			if m.ID == view.Self || !e.handOverTo(ctx, m.ID) || !slices.Contains(owed, m.ID) {
--- a/lhflow/engine.go
+++ b/lhflow/engine.go
@@ -97,8 +97,10 @@
 	limits Limits
 	table  table
 	// size is the number of records in the table.
-	size    atomic.Int64
-	view    atomic.Pointer[View]
+	size atomic.Int64
+	view atomic.Pointer[View]
+	// listed is the last view whose hand-over has been listed whole.
+	listed  atomic.Pointer[View]
 	refused refusals
 	// changed and lost are the ticks of the last change of view and of the last
 	// loss of a member that had not left; 0 for never.
@@ -118,6 +120,7 @@
 	e := &Engine{placer: p, limits: l.withDefaults()}
 	alone := []Member{{ID: self, State: Active}}
 	e.view.Store(NewView(0, self, alone))
+	e.listed.Store(e.view.Load())
 	return e
 }
 
--- a/lhflow/handover.go
+++ b/lhflow/handover.go
@@ -37,8 +37,13 @@
 	for i := range e.table.shards {
 		e.sweepShard(now, &e.table.shards[i], old, v)
 	}
+	e.listed.Store(v)
 }
 
+// Listed returns the last view under which all records to hand over are listed. It
+// is older than View while SetView runs: Pending then says too little.
+func (e *Engine) Listed() *View { return e.listed.Load() }
+
 // Missing says that a member can still not be reached, but may come back. Packets
 // of flows that may live there are left to be repeated.
 func (e *Engine) Missing(now time.Duration) { e.lost.Store(uint32(ticks(now)) | 1) }
