--- a/cmd/laburnumhollow/failure_test.go
+++ b/cmd/laburnumhollow/failure_test.go
@@ -215,24 +215,26 @@
 	f.verify(h, "undrained")
 }
 
-// TestServerSilent lets a backend server fall silent. Flows that open get another
-// server within the retry budget, or are refused, and nothing runs twice.
-func TestServerSilent(t *testing.T) {
+// TestServerFails lets a backend server fall silent, refuse and answer late. Flows that
+// open get another server within the retry budget, or are refused; nothing runs twice.
+func TestServerFails(t *testing.T) {
 	f := newFleet(t, "sapporo-a", "ebetsu")
 	for i := range 60 {
 		// First tries pay for the retries.
 		assert.NilError(t, f.request(fmt.Sprint("first-", i)))
 	}
-	f.servers["cutdesk-1"].Set(func(b *lhstand.Behavior) { b.Silent = true })
-	served := 0
-	for i := range 20 {
-		err := f.request(fmt.Sprint("silent-", i))
-		assert.Assert(t, err == nil || err == lhstand.Refused, "%v", err)
-		if err == nil {
-			served++
+	for i, b := range []lhstand.Behavior{{Silent: true}, {Refusing: true}, {Work: 300 * time.Millisecond}} {
+		f.servers["cutdesk-1"].Set(func(now *lhstand.Behavior) { *now = b })
+		served := 0
+		for n := range 20 {
+			err := f.request(fmt.Sprint("failing-", i, "-", n))
+			assert.Assert(t, err == nil || err == lhstand.Refused, "%v", err)
+			if err == nil {
+				served++
+			}
 		}
+		assert.Assert(t, served >= 18, "%+v: %d of 20", b, served)
 	}
-	assert.Assert(t, served >= 18)
 	f.assertRunOnce()
 }
 
