lhflow: pass copies on and judge recent times in one place each

The rule by which a copy goes on to the next holder stood in two methods, and so did the question whether something happened within a time; retry had a variant of pass for itself. A flow already reported as silent is no longer stored again. Behaviour is the same.

--- a/lhflow/owner.go
+++ b/lhflow/owner.go
@@ -130,16 +130,13 @@
 
 // lostWithin reports whether a member was lost in the time d before now.
 func (e *Engine) lostWithin(now, d time.Duration) bool {
-	lost := tick(e.lost.Load())
-	return lost != 0 && int64(ticks(now).since(lost)) < d.Milliseconds()
+	return within(now, tick(e.lost.Load()), d)
 }
 
-// passKnown is pass for a record that may have been removed meanwhile.
-func (e *Engine) passKnown(ev *Event, view *View, en entry) Verdict {
-	if en.server == 0 {
-		return Verdict{Reason: ReasonReuse}
-	}
-	return e.pass(ev, view, &en)
+// within reports whether something happened at a tick, 0 for never, and in the time
+// d before now.
+func within(now time.Duration, at tick, d time.Duration) bool {
+	return at != 0 && ticks(now).after(at) < d
 }
 
 // pass sends a packet by way of the members that are to have a copy of its record.
--- a/lhflow/place.go
+++ b/lhflow/place.go
@@ -106,9 +106,7 @@
 	if en.lease != 0 && en.lease.since(t) >= 0 {
 		return true
 	}
-	changed := tick(e.changed.Load())
-	hold := int32((e.limits.Lease + settle) / time.Millisecond)
-	return changed != 0 && t.since(changed) < hold
+	return within(now, tick(e.changed.Load()), e.limits.Lease+settle)
 }
 
 // repeat decides over a repeated SYN. While no server has answered it may go to
@@ -128,13 +126,21 @@
 	if en.attempt < maxAttempts && e.placer.Retry(ev.Key) {
 		return e.retry(ev, view, en)
 	}
+	if !en.has(silent) {
+		e.reportSilent(ev, en)
+	}
+	return e.pass(ev, view, &en)
+}
+
+// reportSilent reports, once for a flow, that its server has not answered; the flow
+// stays there.
+func (e *Engine) reportSilent(ev *Event, en entry) {
 	marked := en
 	marked.marks |= silent
-	if _, ok := e.swap(ev.ID, en, marked); ok && !en.has(silent) {
+	if _, ok := e.swap(ev.ID, en, marked); ok {
 		e.tell(ev.Now, Silent, &en, ev.Key.Caller)
 		e.tell(ev.Now, Opened, &en, ev.Key.Caller)
 	}
-	return e.pass(ev, view, &en)
 }
 
 // retry places a flow anew whose server has not answered.
@@ -148,9 +154,12 @@
 	moved.placed = ticks(ev.Now)
 	moved.attempt++
 	stands, ok := e.swap(ev.ID, en, moved)
+	if !ok && stands.server == 0 {
+		return Verdict{Reason: ReasonReuse}
+	}
 	if !ok {
 		// The server has answered, or another copy of the SYN was faster.
-		return e.passKnown(ev, view, stands)
+		return e.pass(ev, view, &stands)
 	}
 	e.tell(ev.Now, Silent, &en, ev.Key.Caller)
 	e.tell(ev.Now, Opened, &moved, ev.Key.Caller)
--- a/lhflow/relay.go
+++ b/lhflow/relay.go
@@ -61,13 +61,21 @@
 		e.tell(ev.Now, Ended, &mine, ev.Key.Caller)
 	}
 	e.tellSkipped(ev, view)
+	if verdict, more := e.onward(ev, view); more {
+		return verdict
+	}
+	return e.send(ev, &en)
+}
+
+// onward passes a copy on to the next holder; it is false where there is none.
+func (e *Engine) onward(ev *Event, view *View) (Verdict, bool) {
 	next := e.next(view, ev.ID)
 	if next == 0 || next == ev.Peer || next == ev.Relay.Origin || ev.Relay.Hops >= maxHops {
-		return e.send(ev, &en)
+		return Verdict{}, false
 	}
 	relay := ev.Relay
 	relay.Hops++
-	return Verdict{Action: ToPeer, Peer: next, Relay: relay}
+	return Verdict{Action: ToPeer, Peer: next, Relay: relay}, true
 }
 
 // tellSkipped lists a record for hand-over to the holders that come before this
@@ -85,13 +93,10 @@
 
 func (e *Engine) copyRefusal(ev *Event, view *View) Verdict {
 	e.refused.add(ev.Now, ev.ID, ev.Relay.ISN)
-	next := e.next(view, ev.ID)
-	if next == 0 || next == ev.Peer || next == ev.Relay.Origin || ev.Relay.Hops >= maxHops {
-		return Verdict{Action: Refuse, Reason: ReasonRefused}
+	if verdict, more := e.onward(ev, view); more {
+		return verdict
 	}
-	relay := ev.Relay
-	relay.Hops++
-	return Verdict{Action: ToPeer, Peer: next, Relay: relay}
+	return Verdict{Action: Refuse, Reason: ReasonRefused}
 }
 
 // outranks reports whether this VM's record of the same flow stands against the
