lhentry: keep waiting and slow work out of the loop that says the VM runs

Found by reading. The loop that calls Beat every 100 ms also read the platform's list of VMs, which may wait 2 s for a slow platform: as long as times.suspect, so that the VM would doubt all of its records, and nothing expired meanwhile. The list is now read by a goroutine of its own. The search for dead backend servers and members out of reach went over all of them ten times a second, for times of a minute and more; it now does so once a second. The loops share one function. No test brings the wait about.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -267,6 +267,8 @@
 		e.serveOps,
 		e.handOver,
 		e.housekeep,
+		e.lookAround,
+		e.followList,
 		e.askReports,
 	}
 	for _, w := range e.workers {
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -24,6 +24,8 @@
 	missingLimit = 5 * time.Minute
 	// contactLife is how long a member that has left the view is still known.
 	contactLife = 10 * time.Minute
+	// lookInterval is the time between two looks at servers and members.
+	lookInterval = time.Second
 	// listInterval is the time between two looks at the platform's list of VMs.
 	listInterval = 10 * time.Second
 )
@@ -119,14 +121,7 @@
 // handOver sends records to the members that lack them, and tells a joining
 // member once it has all that this VM owes it.
 func (e *Entry) handOver(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, tick, func() {
 		view := e.engine.Listed()
 		owed := e.node.Unreleased()
 		for _, m := range view.Members {
@@ -136,7 +131,7 @@
 			// A member that does not know this VM yet refuses the mark and stays owed.
 			_ = e.node.Push(ctx, m.ID, nil, true)
 		}
-	}
+	})
 }
 
 // handOverTo sends what is pending for a member and reports whether nothing is left.
@@ -156,33 +151,49 @@
 	return true
 }
 
-// housekeep removes records whose time is over and follows the platform's list of VMs.
+// housekeep says that the VM is running and removes records whose time is over.
 func (e *Entry) housekeep(ctx context.Context) error {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	listed := e.now() - listInterval
 	part := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, tick, func() {
 		now := e.now()
 		e.engine.Beat(now)
 		for range expireParts {
 			e.engine.Expire(now, part)
 			part++
 		}
+	})
+}
+
+// lookAround looks for dead backend servers and for members that can't be reached.
+func (e *Entry) lookAround(ctx context.Context) error {
+	return every(ctx, lookInterval, func() {
+		now := e.now()
 		e.silence.refresh(now, e.standing)
 		for _, a := range e.node.Unreachable() {
 			if now-a.Since < missingLimit {
 				e.engine.Missing(now)
 			}
 		}
-		if now-listed >= listInterval {
-			listed = now
-			e.readList(ctx)
+	})
+}
+
+// followList follows the platform's list of VMs. It waits for the platform, so it
+// has a goroutine of its own.
+func (e *Entry) followList(ctx context.Context) error {
+	e.readList(ctx)
+	return every(ctx, listInterval, func() { e.readList(ctx) })
+}
+
+// every calls f once an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f()
 		}
 	}
 }
