lhflow: hand over whole flows by a mark instead of records, on the users' platform

Cause: on the users' platform both ends of a flow return a field of each packet that a VM may write. Owners, hand-over and groups have nothing left to do there. Ruled out: owner records on this platform: they need control traffic and VMs that know each other for what 32 bits in the packet carry by themselves.

--- a/cmd/laburnumhollow/main.go
+++ b/cmd/laburnumhollow/main.go
@@ -73,6 +73,7 @@
 	root.PersistentFlags().StringVarP(&p.format, "output", "o", formatText, "form of the output: text or json")
 	root.AddCommand(
 		newEntryCommand(p),
+		newMarkedCommand(p),
 		newCheckCommand(p),
 		newApplyCommand(p),
 		newFetchCommand(p),
--- /dev/null
+++ b/cmd/laburnumhollow/marked.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhentry"
+	lhplatform "github.com/laburnumhollow/laburnumhollow/platform"
+)
+
+func newMarkedCommand(p *printer) *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "marked [--settings FILE]",
+		Short: "Run the load balancer on an entry VM whose network marks flows",
+		Long: `Run the load balancer on an entry VM until it is told to stop, on a platform
+where the ends of a flow return a mark of each packet.
+
+Without --settings the platform names the file. Every setting is checked first, and
+a fault in any keeps the process from starting. SIGTERM starts a planned stop: the
+process tells the routers to turn away and forwards what still arrives, until the
+bound in times.stop. A second SIGTERM ends it at once. SIGHUP has the settings read
+again. The log goes to standard output, one JSON object a line; lines that can't be
+written in time are dropped and counted.`,
+		Example: "  laburnumhollow marked --settings /etc/laburnumhollow/vm.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if path == "" {
+				path = lhplatform.SettingsPath()
+			}
+			if path == "" {
+				return lhcode.New(lhcode.Usage, "neither --settings nor the platform names a file")
+			}
+			settings, err := lhconf.ReadMarkedSettings(path)
+			if err != nil {
+				return err
+			}
+			out, flush := newSteadyWriter(p.out)
+			defer flush()
+			marked, err := lhentry.NewMarked(settings, outside(settings), newLogger(out, settings.LogLevel, settings.Name))
+			if err != nil {
+				return err
+			}
+			ctx, kill, release := stopContexts()
+			defer release()
+			return <-marked.Run(ctx, kill)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "file with the VM's settings")
+	return c
+}
+
+// outside returns the platform as a Marked process meets it.
+func outside(s lhconf.MarkedSettings) lhentry.Outside {
+	listed, watched := lhplatform.Prefixes()
+	return lhentry.Outside{
+		Codec:   lhplatform.Codec{},
+		Feed:    lhplatform.NewStore(s.Platform),
+		Listed:  listed,
+		Watched: watched,
+		Ready:   lhplatform.NewReadyHandler,
+	}
+}
--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -52,9 +52,14 @@
 	LeaseLost Code = 205
 	// NotFound is a key, file, server or revision that does not exist.
 	NotFound Code = 206
+	// HistoryLost is a store that no longer has the changes since a revision.
+	HistoryLost Code = 208
 	// PreconditionFailed is a conditional write to a key that had changed meanwhile.
 	PreconditionFailed Code = 207
 
+	// PacketInvalid is a datagram that is no whole packet.
+	PacketInvalid Code = 301
+
 	// PeerUnreachable is a peer that gave no answer in time.
 	PeerUnreachable Code = 601
 	// PeerUnknown is a member that this VM does not know.
--- a/lhconf/settings.go
+++ b/lhconf/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -108,24 +109,8 @@
 // ParseSettings reads settings from the text of the file name. The error carries
 // every problem found; Settings are then empty.
 func ParseSettings(name string, text []byte) (Settings, error) {
-	sections, problems := parseSections(name, string(text))
 	settings := DefaultSettings()
-	present := make(map[string]bool)
-	for _, sec := range sections {
-		fields, ok := settingFields(sec.name)
-		if !ok {
-			problems = append(problems, sec.unknown("known sections are "+settingSectionNames())...)
-			continue
-		}
-		present[sec.name] = true
-		problems = append(problems, fill(&settings, fields, sec)...)
-	}
-	for _, known := range settingSections {
-		if !present[known.name] {
-			absent := section{origin: Origin{File: name}, name: known.name}
-			problems = append(problems, fill(&settings, known.fields, absent)...)
-		}
-	}
+	sections, problems := fillSections(&settings, name, text, settingSections)
 	if len(problems) == 0 {
 		problems = append(settings.validate(name, sections), settings.TLS.validate(name, sections)...)
 	}
@@ -137,6 +122,44 @@
 	return settings, nil
 }
 
+// settingSection is a section of a settings file with its keys.
+type settingSection[T any] struct {
+	name   string
+	fields []field[T]
+}
+
+// fillSections sets the fields of t from the text of the file name, in which only
+// the known sections may stand.
+func fillSections[T any](t *T, name string, text []byte, known []settingSection[T]) ([]section, Problems) {
+	sections, problems := parseSections(name, string(text))
+	present := make(map[string]bool)
+	for _, sec := range sections {
+		i := slices.IndexFunc(known, func(k settingSection[T]) bool { return k.name == sec.name })
+		if i < 0 {
+			problems = append(problems, sec.unknown("known sections are "+sectionNames(known))...)
+			continue
+		}
+		present[sec.name] = true
+		problems = append(problems, fill(t, known[i].fields, sec)...)
+	}
+	for _, k := range known {
+		if !present[k.name] {
+			absent := section{origin: Origin{File: name}, name: k.name}
+			problems = append(problems, fill(t, k.fields, absent)...)
+		}
+	}
+	return sections, problems
+}
+
+// sectionNames returns the names of sections.
+func sectionNames[T any](known []settingSection[T]) string {
+	names := make([]string, len(known))
+	for i, k := range known {
+		names[i] = k.name
+	}
+	return strings.Join(names, ", ")
+}
+
 // validate checks what holds between settings that are each within their range.
 func (s *Settings) validate(name string, sections []section) Problems {
 	if s.Suspect >= 2*s.Heartbeat {
@@ -156,30 +179,8 @@
 	return Problems{problem}
 }
 
-// settingFields returns the fields of a section.
-func settingFields(name string) ([]field[Settings], bool) {
-	for _, s := range settingSections {
-		if s.name == name {
-			return s.fields, true
-		}
-	}
-	return nil, false
-}
-
-// settingSectionNames returns the names of all sections.
-func settingSectionNames() string {
-	names := make([]string, len(settingSections))
-	for i, s := range settingSections {
-		names[i] = s.name
-	}
-	return strings.Join(names, ", ")
-}
-
 // settingSections are the sections of a settings file with their keys.
-var settingSections = []struct {
-	name   string
-	fields []field[Settings]
-}{
+var settingSections = []settingSection[Settings]{
 	{"vm", []field[Settings]{
 		nameField("name", func(s *Settings) *string { return &s.Name }).must(),
 		nameField("datacentre", func(s *Settings) *string { return &s.DataCentre }).must(),
@@ -222,11 +223,16 @@
 		durationField("udp", time.Second, 24*time.Hour, func(s *Settings) *time.Duration { return &s.IdleUDP }),
 	}},
 	{"log", []field[Settings]{
-		choiceField(
-			"level",
-			[]string{"debug", "info", "warn", "error"},
-			[]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel},
-			func(s *Settings) *zerolog.Level { return &s.LogLevel },
-		),
+		levelField(func(s *Settings) *zerolog.Level { return &s.LogLevel }),
 	}},
 }
+
+// levelField is the key of the least severe level that is logged.
+func levelField[T any](at func(*T) *zerolog.Level) field[T] {
+	return choiceField(
+		"level",
+		[]string{"debug", "info", "warn", "error"},
+		[]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel},
+		at,
+	)
+}
--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -4,8 +4,8 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"log"
 	"net"
-	"net/http"
 	"net/netip"
 	"runtime"
 	"sync/atomic"
@@ -291,16 +291,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: opsTimeout}
+	var faults *log.Logger
 	if e.keys != nil {
-		server.ErrorLog = e.keys.ErrorLog()
+		faults = e.keys.ErrorLog()
 	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(e.ops); err != http.ErrServerClosed {
-		return lhcode.Wrap(lhcode.SocketFailed, err, "serve operators")
-	}
-	return nil
+	return serve(ctx, e.ops, handler, faults)
 }
 
 // opsTimeout is how long an operator's request may take to arrive.
--- /dev/null
+++ b/lhentry/marked.go
@@ -0,0 +1,226 @@
+package lhentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhmark"
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+	"github.com/laburnumhollow/laburnumhollow/lhsock"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+)
+
+// Codec translates the packets of callers and the contents of a store.
+type Codec interface {
+	// Decode reads the packet of a caller.
+	Decode(datagram []byte) (lhflow.Event, error)
+	// AppendToServer appends the datagram that carries a packet to a backend server.
+	AppendToServer(out, datagram []byte, target uint64, mark uint32) []byte
+	// AppendReset appends a packet that resets a flow towards its caller.
+	AppendReset(out []byte, ev *lhflow.Event) []byte
+	// ServerName returns the name of the backend server that a key belongs to.
+	ServerName(key string) (string, bool)
+	// DecodeServer reads the entry of a backend server.
+	DecodeServer(name string, data []byte) (lhmark.Server, error)
+	// IsConfig reports whether a key holds the configuration.
+	IsConfig(key string) bool
+	// DecodeConfig reads the configuration. With an error it is valid for all but
+	// what the error names, unless its revision is 0.
+	DecodeConfig(data []byte) (lhmark.Config, error)
+}
+
+// Outside is what a Marked process meets the outside with.
+type Outside struct {
+	Codec Codec
+	Feed  lhstore.Feed
+	// Listed are the prefixes of the store's keys that are followed, and Watched is
+	// a prefix of them all.
+	Listed  []string
+	Watched string
+	// Ready makes the handler that tells routers whether the VM takes packets.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Marked is the process on an entry VM that carries flows whose ends return a mark.
+type Marked struct {
+	settings lhconf.MarkedSettings
+	outside  Outside
+	log      zerolog.Logger
+	lines    lines
+	started  time.Time
+	socket   *lhsock.Socket
+	ready    net.Listener
+	ops      net.Listener
+	engine   *lhmark.Engine
+	// mu guards directory.
+	mu        sync.Mutex
+	directory lhmark.Directory
+	counters  markedCounters
+	times     lhops.Times
+	leaving   atomic.Bool
+	// out is the buffer of the one goroutine that forwards packets.
+	out []byte
+}
+
+// NewMarked opens the sockets of a process. Nothing is forwarded until Run.
+func NewMarked(s lhconf.MarkedSettings, o Outside, log zerolog.Logger) (*Marked, error) {
+	m := &Marked{
+		settings: s,
+		outside:  o,
+		log:      log,
+		lines:    newLines(log, s.Lines),
+		started:  time.Now(),
+		engine:   lhmark.NewEngine(s.DataCentre, lhmark.Limits{Flows: s.Flows}),
+	}
+	var err error
+	if m.socket, err = lhsock.Open(s.Data, 1); err != nil {
+		return nil, err
+	}
+	if m.ready, err = net.Listen("tcp", s.Ready.String()); err == nil {
+		m.ops, err = net.Listen("tcp", s.Ops.String())
+	}
+	if err != nil {
+		m.close()
+		return nil, lhcode.Wrap(lhcode.SocketFailed, err, "open a listening socket")
+	}
+	return m, nil
+}
+
+func (m *Marked) close() {
+	_ = m.socket.Close()
+	for _, l := range []net.Listener{m.ready, m.ops} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Data returns the address that the process receives packets at.
+func (m *Marked) Data() netip.AddrPort { return m.socket.Address() }
+
+// Ready returns the address that routers ask.
+func (m *Marked) Ready() netip.AddrPort { return m.ready.Addr().(*net.TCPAddr).AddrPort() }
+
+// Ops returns the address that the process serves operators at.
+func (m *Marked) Ops() netip.AddrPort { return m.ops.Addr().(*net.TCPAddr).AddrPort() }
+
+// now returns the monotonic time since the process started.
+func (m *Marked) now() time.Duration { return time.Since(m.started) }
+
+// Run forwards packets until ctx ends, and then stops as planned: routers are told to
+// turn away, and what still arrives is forwarded, within the bound of the settings.
+// Once kill ends it stops at once. The channel then gives the first error, or nil.
+func (m *Marked) Run(ctx, kill context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- m.run(ctx, kill) }()
+	return done
+}
+
+func (m *Marked) run(ctx, kill context.Context) error {
+	life, end := context.WithCancel(kill)
+	defer end()
+	ended := make(chan error)
+	parts := []func(context.Context) error{m.follow, m.forward, m.serveReady, m.serveOps, m.housekeep}
+	for _, part := range parts {
+		go func() { ended <- part(life) }()
+	}
+	m.log.Info().Stringer("data", m.Data()).Stringer("ready", m.Ready()).Stringer("ops", m.Ops()).
+		Str("datacentre", m.settings.DataCentre).Str("platform", m.settings.Platform).Msg("started")
+	left := len(parts)
+	var first error
+	select {
+	case <-ctx.Done():
+		m.stop(kill)
+	case <-kill.Done():
+	case first = <-ended:
+		left--
+	}
+	end()
+	m.close()
+	for ; left > 0; left-- {
+		if err := <-ended; first == nil {
+			first = err
+		}
+	}
+	m.log.Info().Err(first).Dur("ran", m.now()).Msg("stopped")
+	return first
+}
+
+const (
+	// turnAwayTime is how long routers go on sending packets to a VM that says that it
+	// leaves: they ask twice a second and turn away after the second answer.
+	turnAwayTime = 1500 * time.Millisecond
+	// stopMargin is kept free before the bound of a planned stop.
+	stopMargin = 500 * time.Millisecond
+)
+
+// stop carries out a planned stop.
+func (m *Marked) stop(kill context.Context) {
+	m.leaving.Store(true)
+	m.log.Info().Int("flows", m.engine.Len()).Msg("leaving")
+	ctx, cancel := context.WithTimeout(kill, m.settings.Stop-stopMargin)
+	defer cancel()
+	begun := m.now()
+	last, since := m.counters.received.Load(), begun
+	await(ctx, func() bool {
+		if n := m.counters.received.Load(); n != last {
+			last, since = n, m.now()
+		}
+		return m.now()-begun >= turnAwayTime && m.now()-since >= quietTime
+	})
+}
+
+// follow follows the store until the context ends.
+func (m *Marked) follow(ctx context.Context) error {
+	mirror := lhstore.Mirror{
+		Feed:     m.outside.Feed,
+		Prefixes: m.outside.Listed,
+		Watched:  m.outside.Watched,
+		Consumer: (*markedStore)(m),
+		Log:      m.log,
+	}
+	return <-mirror.Run(ctx)
+}
+
+// sweepPeriod is the time between two looks for flows that have ended.
+const sweepPeriod = 500 * time.Millisecond
+
+// housekeep does what time alone brings about until the context ends.
+func (m *Marked) housekeep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			m.engine.Expire(m.now())
+			m.mu.Lock()
+			m.update()
+			m.mu.Unlock()
+			m.lines.report()
+		}
+	}
+}
+
+func (m *Marked) serveReady(ctx context.Context) error {
+	return serve(ctx, m.ready, m.outside.Ready(func() bool { return m.Health().Ready() }), nil)
+}
+
+func (m *Marked) serveOps(ctx context.Context) error {
+	handler, err := lhops.NewHandlerWith(m, &m.times)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, m.ops, handler, nil)
+}
--- /dev/null
+++ b/lhentry/marked_state.go
@@ -0,0 +1,81 @@
+package lhentry
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+)
+
+// markedCounters count what a Marked process did; they only ever grow.
+type markedCounters struct {
+	received, invalid, sendFailed, placed, again, storeLost, badEntries atomic.Uint64
+	actions                                                             [lhflow.Reset + 1]atomic.Uint64
+	reasons                                                             [lhflow.ReasonCount]atomic.Uint64
+}
+
+// byName returns all counters by name.
+func (c *markedCounters) byName() map[string]uint64 {
+	sums := map[string]uint64{
+		countNames[CountReceived]:   c.received.Load(),
+		countNames[CountSendFailed]: c.sendFailed.Load(),
+		countNames[CountToServer]:   c.actions[lhflow.ToServer].Load(),
+		countNames[CountRefused]:    c.actions[lhflow.Refuse].Load(),
+		countNames[CountReset]:      c.actions[lhflow.Reset].Load(),
+		"packets_invalid":           c.invalid.Load(),
+		"flows_placed":              c.placed.Load(),
+		"flows_placed_again":        c.again.Load(),
+		"store_lost":                c.storeLost.Load(),
+		"entries_ignored":           c.badEntries.Load(),
+	}
+	for i := 1; i < len(c.reasons); i++ {
+		sums["reason_"+reasonNames[i]] = c.reasons[i].Load()
+	}
+	return sums
+}
+
+// Health implements lhops.Source.
+func (m *Marked) Health() lhops.Health {
+	t := m.engine.Table()
+	switch {
+	case m.leaving.Load():
+		return lhops.Health{State: lhops.Leaving, Reason: "planned stop"}
+	case t.Revision() == 0:
+		return lhops.Health{State: lhops.Starting, Reason: "no configuration in force"}
+	case t.Servers() == 0:
+		return lhops.Health{State: lhops.Starting, Reason: "no backend server known"}
+	}
+	return lhops.Health{State: lhops.Serving}
+}
+
+// Dump implements lhops.Source.
+func (m *Marked) Dump() lhops.Dump {
+	t := m.engine.Table()
+	d := lhops.Dump{
+		VM:         m.settings.Name,
+		DataCentre: m.settings.DataCentre,
+		Health:     m.Health(),
+		Revision:   t.Revision(),
+		Table: lhops.TableState{
+			Flows: uint64(m.engine.Len()),
+			Limit: uint64(m.settings.Flows),
+		},
+		Counters: m.counters.byName(),
+	}
+	d.Counters["lines_omitted"] = m.lines.omitted.Load()
+	for name, servers := range t.Serving() {
+		state := lhops.ServiceState{Name: name, Proto: lhflow.TCP}
+		for _, s := range servers {
+			snap := m.engine.Server(m.now(), s.Number)
+			state.Flows += uint64(snap.Held)
+			state.Servers = append(state.Servers, lhops.ServerState{
+				Number: s.Number, Name: s.Name, DataCentre: s.DataCentre, State: s.State, Flows: uint64(snap.Held),
+			})
+		}
+		d.Services = append(d.Services, state)
+	}
+	slices.SortFunc(d.Services, func(a, b lhops.ServiceState) int { return strings.Compare(a.Name, b.Name) })
+	return d
+}
--- a/lhentry/stop.go
+++ b/lhentry/stop.go
@@ -20,7 +20,7 @@
 	defer cancel()
 	e.node.Leave()
 	deadline := e.now() + e.settings.Stop/2
-	e.await(ctx, func() bool {
+	await(ctx, func() bool {
 		e.node.SetBudget(max(e.settings.ControlRate, e.needed(deadline)))
 		return e.handedOver()
 	})
@@ -54,7 +54,7 @@
 // awaitQuiet returns when no packet has come for quietTime, or when ctx ends.
 func (e *Entry) awaitQuiet(ctx context.Context) {
 	last, since := e.received(), e.now()
-	e.await(ctx, func() bool {
+	await(ctx, func() bool {
 		if n := e.received(); n != last {
 			last, since = n, e.now()
 		}
@@ -71,7 +71,7 @@
 }
 
 // await returns when the condition holds or ctx ends.
-func (e *Entry) await(ctx context.Context, condition func() bool) {
+func await(ctx context.Context, condition func() bool) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for !condition() {
--- a/lhflow/event.go
+++ b/lhflow/event.go
@@ -49,6 +49,9 @@
 	Peer MemberID
 	// Relay is what that member said about the packet; its zero value when none did.
 	Relay Relay
+	// Mark is the number of a backend server that an earlier packet of the flow was
+	// marked with and that the ends returned; 0 for none, or where packets carry none.
+	Mark uint32
 }
 
 // RelayKind says why a member passes a packet on to another.
--- a/lhops/metrics.go
+++ b/lhops/metrics.go
@@ -38,7 +38,7 @@
 }
 
 // newMetrics returns the metrics of a Source, in a registry of their own.
-func newMetrics(source Source) (*metrics, error) {
+func newMetrics(source Source, times *Times) (*metrics, error) {
 	m := &metrics{source: source, registry: prometheus.NewRegistry()}
 	exporter, err := otelprom.New(
 		otelprom.WithRegisterer(m.registry),
@@ -50,14 +50,14 @@
 		return nil, lhcode.Wrap(lhcode.Internal, err, "make the metrics exporter")
 	}
 	meter := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)).Meter(meterName)
-	if err := m.define(meter); err != nil {
+	if err := m.define(meter, times); err != nil {
 		return nil, lhcode.Wrap(lhcode.Internal, err, "define the metrics")
 	}
 	return m, nil
 }
 
 // define makes the instruments and registers what is observed by them.
-func (m *metrics) define(meter metric.Meter) error {
+func (m *metrics) define(meter metric.Meter, times *Times) error {
 	d := definer{meter: meter}
 	m.ready = d.gauge("ready", "1 while the VM takes packets from the fabric", "")
 	m.revision = d.gauge("revision", "revision of the configuration in force", "")
@@ -72,6 +72,9 @@
 	m.refused = d.counter("work.refused", "flows refused of a kind of work")
 	m.events = d.counter("events", "what has happened since the process started, by name")
 	m.requests = d.requests()
+	if times != nil {
+		times.define(&d)
+	}
 	if d.err != nil {
 		return d.err
 	}
--- a/lhops/transport.go
+++ b/lhops/transport.go
@@ -12,8 +12,11 @@
 )
 
 // NewHandler returns the HTTP side of a process: its Service and its metrics.
-func NewHandler(source Source) (http.Handler, error) {
-	metrics, err := newMetrics(source)
+func NewHandler(source Source) (http.Handler, error) { return NewHandlerWith(source, nil) }
+
+// NewHandlerWith is NewHandler for a process that measures times as well.
+func NewHandlerWith(source Source, times *Times) (http.Handler, error) {
+	metrics, err := newMetrics(source, times)
 	if err != nil {
 		return nil, err
 	}
