lhflow: hand over early packets to the first configuration, and read settings again

After a loss of all VMs packets reached a VM up to 15 ms before it knew a configuration and were dropped.

--- a/cmd/laburnumhollow/marked.go
+++ b/cmd/laburnumhollow/marked.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/spf13/cobra"
 
 	"github.com/laburnumhollow/laburnumhollow/lhcode"
@@ -38,7 +42,15 @@
 			}
 			out, flush := newSteadyWriter(p.out)
 			defer flush()
-			marked, err := lhentry.NewMarked(settings, outside(settings), newLogger(out, settings.LogLevel, settings.Name))
+			o := outside(settings)
+			reread := make(chan os.Signal, 1)
+			signal.Notify(reread, syscall.SIGHUP)
+			defer signal.Stop(reread)
+			o.Reload = lhentry.Reload{
+				Read: func() (lhconf.MarkedSettings, error) { return lhconf.ReadMarkedSettings(path) },
+				Now:  reread,
+			}
+			marked, err := lhentry.NewMarked(settings, o, newLogger(out, settings.LogLevel, settings.Name))
 			if err != nil {
 				return err
 			}
--- a/lhentry/lines.go
+++ b/lhentry/lines.go
@@ -22,6 +22,12 @@
 	return lines{log: log, limiter: rate.NewLimiter(rate.Limit(perSecond), perSecond), omitted: new(atomic.Uint64)}
 }
 
+// limit changes how many lines a second are written.
+func (l *lines) limit(perSecond int) {
+	l.limiter.SetLimit(rate.Limit(perSecond))
+	l.limiter.SetBurst(perSecond)
+}
+
 // info returns a line, or nil where there is no room for one.
 func (l *lines) info() *zerolog.Event { return l.line(l.log.Info) }
 
--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -47,13 +47,16 @@
 	// a prefix of them all.
 	Listed  []string
 	Watched string
+	// Reload says how settings are read again; its zero value leaves them as they are.
+	Reload Reload
 	// Ready makes the handler that tells routers whether the VM takes packets.
 	Ready func(ready func() bool) http.Handler
 }
 
 // Marked is the process on an entry VM that carries flows whose ends return a mark.
 type Marked struct {
-	settings lhconf.MarkedSettings
+	// settings are those in force; only what Reload may change ever differs.
+	settings atomic.Pointer[lhconf.MarkedSettings]
 	outside  Outside
 	log      zerolog.Logger
 	lines    lines
@@ -68,6 +71,8 @@
 	counters  markedCounters
 	times     lhops.Times
 	leaving   atomic.Bool
+	// informed is closed once a configuration and a backend server are known.
+	informed chan struct{}
 	// out is the buffer of the one goroutine that forwards packets.
 	out []byte
 }
@@ -75,13 +80,14 @@
 // NewMarked opens the sockets of a process. Nothing is forwarded until Run.
 func NewMarked(s lhconf.MarkedSettings, o Outside, log zerolog.Logger) (*Marked, error) {
 	m := &Marked{
-		settings: s,
 		outside:  o,
 		log:      log,
 		lines:    newLines(log, s.Lines),
 		started:  time.Now(),
+		informed: make(chan struct{}),
 		engine:   lhmark.NewEngine(s.DataCentre, lhmark.Limits{Flows: s.Flows}),
 	}
+	m.settings.Store(&s)
 	var err error
 	if m.socket, err = lhsock.Open(s.Data, 1); err != nil {
 		return nil, err
@@ -130,12 +136,12 @@
 	life, end := context.WithCancel(kill)
 	defer end()
 	ended := make(chan error)
-	parts := []func(context.Context) error{m.follow, m.forward, m.serveReady, m.serveOps, m.housekeep}
+	parts := []func(context.Context) error{m.follow, m.forward, m.serveReady, m.serveOps, m.housekeep, m.reload}
 	for _, part := range parts {
 		go func() { ended <- part(life) }()
 	}
 	m.log.Info().Stringer("data", m.Data()).Stringer("ready", m.Ready()).Stringer("ops", m.Ops()).
-		Str("datacentre", m.settings.DataCentre).Str("platform", m.settings.Platform).Msg("started")
+		Str("datacentre", m.settings.Load().DataCentre).Str("platform", m.settings.Load().Platform).Msg("started")
 	left := len(parts)
 	var first error
 	select {
@@ -168,7 +174,7 @@
 func (m *Marked) stop(kill context.Context) {
 	m.leaving.Store(true)
 	m.log.Info().Int("flows", m.engine.Len()).Msg("leaving")
-	ctx, cancel := context.WithTimeout(kill, m.settings.Stop-stopMargin)
+	ctx, cancel := context.WithTimeout(kill, m.settings.Load().Stop-stopMargin)
 	defer cancel()
 	begun := m.now()
 	last, since := m.counters.received.Load(), begun
--- a/lhentry/marked_forward.go
+++ b/lhentry/marked_forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -11,8 +12,18 @@
 	"github.com/laburnumhollow/laburnumhollow/lhsock"
 )
 
-// forward forwards packets until the context ends or the socket is closed.
+// holdTime is how long packets wait in the socket for the first configuration after a
+// start: about as long as a caller waits for an answer to its SYN.
+const holdTime = time.Second
+
+// forward forwards packets until the context ends or the socket is closed. Routers may
+// send packets before the VM says that it is ready, where most others are gone as well.
 func (m *Marked) forward(ctx context.Context) error {
+	select {
+	case <-m.informed:
+	case <-ctx.Done():
+	case <-time.After(holdTime):
+	}
 	return lhsock.Serve(ctx, m.socket.Handles()[0], m.packet, func() { m.counters.sendFailed.Add(1) })
 }
 
@@ -34,7 +45,7 @@
 		m.send(d.To.Address)
 	case lhflow.Refuse, lhflow.Reset:
 		m.out = m.outside.Codec.AppendReset(m.out[:0], &ev)
-		m.send(netip.AddrPortFrom(ev.Key.CallerAddr().Addr(), m.settings.Data.Port()))
+		m.send(netip.AddrPortFrom(ev.Key.CallerAddr().Addr(), m.settings.Load().Data.Port()))
 	}
 	m.explain(&ev, &d)
 }
--- a/lhentry/marked_state.go
+++ b/lhentry/marked_state.go
@@ -54,13 +54,13 @@
 func (m *Marked) Dump() lhops.Dump {
 	t := m.engine.Table()
 	d := lhops.Dump{
-		VM:         m.settings.Name,
-		DataCentre: m.settings.DataCentre,
+		VM:         m.settings.Load().Name,
+		DataCentre: m.settings.Load().DataCentre,
 		Health:     m.Health(),
 		Revision:   t.Revision(),
 		Table: lhops.TableState{
 			Flows: uint64(m.engine.Len()),
-			Limit: uint64(m.settings.Flows),
+			Limit: uint64(m.settings.Load().Flows),
 		},
 		Counters: m.counters.byName(),
 	}
--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -45,11 +45,11 @@
 	m.directory.SetReached(m.now(), ok)
 	m.engine.SetCurrent(m.directory.Current())
 	if ok {
-		m.log.Info().Str("platform", m.settings.Platform).Msg("store answers")
+		m.log.Info().Str("platform", m.settings.Load().Platform).Msg("store answers")
 		return
 	}
 	m.counters.storeLost.Add(1)
-	m.log.Warn().Err(cause).Str("platform", m.settings.Platform).Msg("store does not answer")
+	m.log.Warn().Err(cause).Str("platform", m.settings.Load().Platform).Msg("store does not answer")
 }
 
 // take takes one item of the store. The lock is held.
@@ -104,4 +104,11 @@
 	if t := m.directory.Table(m.now()); t != m.engine.Table() {
 		m.engine.SetTable(m.now(), t)
 	}
+	select {
+	case <-m.informed:
+	default:
+		if t := m.engine.Table(); t.Revision() != 0 && t.Servers() != 0 {
+			close(m.informed)
+		}
+	}
 }
