lhflow: hand over what one VM reads of the store to all others

Change: lhspread: the first VM in an order reads and tells the first of each data centre, these tell on in a tree; a VM that hears nothing reads for itself. VMs keep entries under a lease. Flows of servers that have ended are reset.

--- a/cmd/laburnumhollow/marked.go
+++ b/cmd/laburnumhollow/marked.go
@@ -65,12 +65,9 @@
 
 // outside returns the platform as a Marked process meets it.
 func outside(s lhconf.MarkedSettings) lhentry.Outside {
-	listed, watched := lhplatform.Prefixes()
 	return lhentry.Outside{
-		Codec:   lhplatform.Codec{},
-		Feed:    lhplatform.NewStore(s.Platform),
-		Listed:  listed,
-		Watched: watched,
-		Ready:   lhplatform.NewReadyHandler,
+		Codec: lhplatform.Codec{},
+		Store: lhplatform.NewStore(s.Platform),
+		Ready: lhplatform.NewReadyHandler,
 	}
 }
--- a/lhconf/marked.go
+++ b/lhconf/marked.go
@@ -17,12 +17,13 @@
 	// Name is the VM's name, which no other VM has.
 	Name       string
 	DataCentre string
-	// Data, Ready and Ops are where the process receives packets, tells the routers
-	// whether it takes any, and serves operators. Callers receive packets at the
-	// port of Data.
-	Data  netip.AddrPort
-	Ready netip.AddrPort
-	Ops   netip.AddrPort
+	// Data, Ready, Control and Ops are where the process receives packets, tells the
+	// routers whether it takes any, hears other VMs, and serves operators. Callers
+	// receive packets at the port of Data.
+	Data    netip.AddrPort
+	Ready   netip.AddrPort
+	Control netip.AddrPort
+	Ops     netip.AddrPort
 	// Platform is the URL of the platform's key-value service.
 	Platform string
 	// Flows is how many flows the VM keeps records of at most.
@@ -80,6 +81,7 @@
 	{"listen", []field[MarkedSettings]{
 		endpointField("data", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Data }).must(),
 		endpointField("ready", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Ready }).must(),
+		endpointField("control", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Control }).must(),
 		endpointField("ops", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Ops }).must(),
 	}},
 	{"platform", []field[MarkedSettings]{
--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"github.com/laburnumhollow/laburnumhollow/lhmark"
 	"github.com/laburnumhollow/laburnumhollow/lhops"
 	"github.com/laburnumhollow/laburnumhollow/lhsock"
+	"github.com/laburnumhollow/laburnumhollow/lhspread"
 	"github.com/laburnumhollow/laburnumhollow/lhstore"
 )
 
@@ -32,6 +34,10 @@
 	ServerName(key string) (string, bool)
 	// DecodeServer reads the entry of a backend server.
 	DecodeServer(name string, data []byte) (lhmark.Server, error)
+	// MemberKey returns the key of a VM's entry, and MemberName the name of the VM
+	// that a key belongs to.
+	MemberKey(name string) string
+	MemberName(key string) (string, bool)
 	// IsConfig reports whether a key holds the configuration.
 	IsConfig(key string) bool
 	// DecodeConfig reads the configuration. With an error it is valid for all but
@@ -39,14 +45,17 @@
 	DecodeConfig(data []byte) (lhmark.Config, error)
 }
 
+// Store is the platform's key-value service.
+type Store interface {
+	lhstore.Feed
+	lhstore.Lessor
+}
+
 // Outside is what a Marked process meets the outside with.
 type Outside struct {
 	Codec Codec
-	Feed  lhstore.Feed
-	// Listed are the prefixes of the store's keys that are followed, and Watched is
-	// a prefix of them all.
-	Listed  []string
-	Watched string
+	// Store holds the configuration, the entries of backend servers and of VMs.
+	Store Store
 	// Reload says how settings are read again; its zero value leaves them as they are.
 	Reload Reload
 	// Ready makes the handler that tells routers whether the VM takes packets.
@@ -64,13 +73,17 @@
 	socket   *lhsock.Socket
 	ready    net.Listener
 	ops      net.Listener
+	control  net.Listener
 	engine   *lhmark.Engine
-	// mu guards directory.
+	spread   *lhspread.Node
+	// mu guards directory and members.
 	mu        sync.Mutex
 	directory lhmark.Directory
-	counters  markedCounters
-	times     lhops.Times
-	leaving   atomic.Bool
+	// members holds the VMs that have entries in the store, by name.
+	members  map[string]lhspread.Member
+	counters markedCounters
+	times    lhops.Times
+	leaving  atomic.Bool
 	// informed is closed once a configuration and a backend server are known.
 	informed chan struct{}
 	// out is the buffer of the one goroutine that forwards packets.
@@ -86,6 +99,8 @@
 		started:  time.Now(),
 		informed: make(chan struct{}),
 		engine:   lhmark.NewEngine(s.DataCentre, lhmark.Limits{Flows: s.Flows}),
+		spread:   lhspread.NewNode(s.Name, log),
+		members:  make(map[string]lhspread.Member),
 	}
 	m.settings.Store(&s)
 	var err error
@@ -95,6 +110,9 @@
 	if m.ready, err = net.Listen("tcp", s.Ready.String()); err == nil {
 		m.ops, err = net.Listen("tcp", s.Ops.String())
 	}
+	if err == nil {
+		m.control, err = net.Listen("tcp", s.Control.String())
+	}
 	if err != nil {
 		m.close()
 		return nil, lhcode.Wrap(lhcode.SocketFailed, err, "open a listening socket")
@@ -104,7 +122,7 @@
 
 func (m *Marked) close() {
 	_ = m.socket.Close()
-	for _, l := range []net.Listener{m.ready, m.ops} {
+	for _, l := range []net.Listener{m.ready, m.ops, m.control} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -120,6 +138,9 @@
 // Ops returns the address that the process serves operators at.
 func (m *Marked) Ops() netip.AddrPort { return m.ops.Addr().(*net.TCPAddr).AddrPort() }
 
+// Control returns the address that the process hears other VMs at.
+func (m *Marked) Control() netip.AddrPort { return m.control.Addr().(*net.TCPAddr).AddrPort() }
+
 // now returns the monotonic time since the process started.
 func (m *Marked) now() time.Duration { return time.Since(m.started) }
 
@@ -136,11 +157,12 @@
 	life, end := context.WithCancel(kill)
 	defer end()
 	ended := make(chan error)
-	parts := []func(context.Context) error{m.follow, m.forward, m.serveReady, m.serveOps, m.housekeep, m.reload}
+	parts := []func(context.Context) error{m.follow, m.forward, m.serveReady, m.serveOps, m.serveControl, m.register, m.tell, m.housekeep, m.reload}
 	for _, part := range parts {
 		go func() { ended <- part(life) }()
 	}
 	m.log.Info().Stringer("data", m.Data()).Stringer("ready", m.Ready()).Stringer("ops", m.Ops()).
+		Stringer("control", m.Control()).
 		Str("datacentre", m.settings.Load().DataCentre).Str("platform", m.settings.Load().Platform).Msg("started")
 	left := len(parts)
 	var first error
@@ -188,14 +210,34 @@
 
 // follow follows the store until the context ends.
 func (m *Marked) follow(ctx context.Context) error {
-	mirror := lhstore.Mirror{
-		Feed:     m.outside.Feed,
-		Prefixes: m.outside.Listed,
-		Watched:  m.outside.Watched,
+	return <-lhstore.Mirror{
+		Feed:     m.outside.Store,
+		Spread:   m.spread,
 		Consumer: (*markedStore)(m),
 		Log:      m.log,
+	}.Run(ctx)
+}
+
+// register keeps the VM's entry in the store until the context ends.
+func (m *Marked) register(ctx context.Context) error {
+	s := m.settings.Load()
+	entry, err := json.Marshal(lhspread.Member{Name: s.Name, DataCentre: s.DataCentre, Control: m.Control()})
+	if err != nil {
+		return lhcode.Wrap(lhcode.Internal, err, "encode the VM's entry")
 	}
-	return <-mirror.Run(ctx)
+	return <-lhstore.Registrar{
+		Store: m.outside.Store,
+		Key:   m.outside.Codec.MemberKey(s.Name),
+		Data:  entry,
+		Log:   m.log,
+	}.Run(ctx)
+}
+
+// tell passes news on to other VMs until the context ends.
+func (m *Marked) tell(ctx context.Context) error { return <-m.spread.Run(ctx) }
+
+func (m *Marked) serveControl(ctx context.Context) error {
+	return serve(ctx, m.control, m.spread.Handler(), nil)
 }
 
 // sweepPeriod is the time between two looks for flows that have ended.
--- a/lhentry/marked_state.go
+++ b/lhentry/marked_state.go
@@ -1,6 +1,7 @@
 package lhentry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -12,8 +13,10 @@
 // markedCounters count what a Marked process did; they only ever grow.
 type markedCounters struct {
 	received, invalid, sendFailed, placed, again, storeLost, badEntries atomic.Uint64
-	actions                                                             [lhflow.Reset + 1]atomic.Uint64
-	reasons                                                             [lhflow.ReasonCount]atomic.Uint64
+	// storeRevision is that of the store up to which all is known.
+	storeRevision atomic.Uint64
+	actions       [lhflow.Reset + 1]atomic.Uint64
+	reasons       [lhflow.ReasonCount]atomic.Uint64
 }
 
 // byName returns all counters by name.
@@ -64,6 +67,8 @@
 		},
 		Counters: m.counters.byName(),
 	}
+	maps.Copy(d.Counters, m.spread.Counters())
+	d.Counters["store_revision"] = m.counters.storeRevision.Load()
 	d.Counters["lines_omitted"] = m.lines.omitted.Load()
 	for name, servers := range t.Serving() {
 		state := lhops.ServiceState{Name: name, Proto: lhflow.TCP}
--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -1,49 +1,55 @@
 package lhentry
 
 import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
 	"github.com/laburnumhollow/laburnumhollow/lhmark"
+	"github.com/laburnumhollow/laburnumhollow/lhspread"
 	"github.com/laburnumhollow/laburnumhollow/lhstore"
 )
 
 // markedStore is a Marked as the consumer of what its store holds.
 type markedStore Marked
 
-// Listed implements lhstore.Consumer.
-func (s *markedStore) Listed(items []lhstore.Item) {
+// Changed implements lhstore.Consumer.
+func (s *markedStore) Changed(items []lhstore.Item) []lhstore.Item {
 	m := (*Marked)(s)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := make(map[string]bool)
+	var told []lhstore.Item
+	members := false
 	for _, it := range items {
-		m.take(it)
-		if name, ok := m.outside.Codec.ServerName(it.Key); ok {
-			names[name] = true
+		if _, member := m.outside.Codec.MemberName(it.Key); member {
+			members = m.takeMember(it) || members
+			told = append(told, it)
+			continue
+		}
+		if m.take(it) {
+			told = append(told, it)
 		}
 	}
-	for _, name := range m.directory.Retain(m.now(), names) {
-		m.log.Info().Str("server", name).Msg("backend server not listed")
+	if members {
+		m.spread.SetMembers(slices.Collect(maps.Values(m.members)))
 	}
 	m.update()
+	return told
 }
 
-// Changed implements lhstore.Consumer.
-func (s *markedStore) Changed(items []lhstore.Item) {
+// Refreshed implements lhstore.Consumer.
+func (s *markedStore) Refreshed(revision uint64, age time.Duration) {
 	m := (*Marked)(s)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, it := range items {
-		m.take(it)
-	}
-	m.update()
+	m.counters.storeRevision.Store(revision)
+	m.directory.Refresh(m.now(), age)
 }
 
 // Reached implements lhstore.Consumer.
 func (s *markedStore) Reached(ok bool, cause error) {
 	m := (*Marked)(s)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.directory.SetReached(m.now(), ok)
-	m.engine.SetCurrent(m.directory.Current())
 	if ok {
 		m.log.Info().Str("platform", m.settings.Load().Platform).Msg("store answers")
 		return
@@ -52,34 +58,53 @@
 	m.log.Warn().Err(cause).Str("platform", m.settings.Load().Platform).Msg("store does not answer")
 }
 
-// take takes one item of the store. The lock is held.
-func (m *Marked) take(it lhstore.Item) {
+// takeMember takes the entry of a VM and reports whether that changes anything. The
+// lock is held.
+func (m *Marked) takeMember(it lhstore.Item) bool {
+	name, _ := m.outside.Codec.MemberName(it.Key)
+	before, known := m.members[name]
+	if it.Deleted {
+		delete(m.members, name)
+		return known
+	}
+	var member lhspread.Member
+	if err := json.Unmarshal(it.Data, &member); err != nil || member.Name != name || !member.Control.IsValid() {
+		m.log.Warn().Err(err).Str("member", name).Uint64("at", it.Revision).Msg("entry of a VM ignored")
+		return false
+	}
+	m.members[name] = member
+	return member != before
+}
+
+// take takes the configuration or the entry of a server, and reports whether it says
+// anything new. The lock is held.
+func (m *Marked) take(it lhstore.Item) bool {
 	codec := m.outside.Codec
 	if codec.IsConfig(it.Key) {
-		if !it.Deleted {
-			m.takeConfig(it)
-		}
-		return
+		return !it.Deleted && m.takeConfig(it)
 	}
 	name, ok := codec.ServerName(it.Key)
 	if !ok {
-		return
+		return false
 	}
 	if it.Deleted {
-		if m.directory.Remove(m.now(), name) {
+		removed := m.directory.Remove(m.now(), name)
+		if removed {
 			m.log.Info().Str("server", name).Uint64("at", it.Revision).Msg("backend server removed")
 		}
-		return
+		return removed
 	}
 	server, err := codec.DecodeServer(name, it.Data)
 	if err != nil {
 		m.counters.badEntries.Add(1)
 		m.lines.warn().Err(err).Str("server", name).Uint64("at", it.Revision).Msg("entry ignored")
-		return
+		return false
 	}
-	if m.directory.Set(server) {
+	changed := m.directory.Set(server)
+	if changed {
 		m.logServer(&server, it.Revision)
 	}
+	return changed
 }
 
 func (m *Marked) logServer(s *lhmark.Server, at uint64) {
@@ -88,19 +113,22 @@
 		Int64("born", s.Born).Uint64("at", at).Msg("backend server")
 }
 
-func (m *Marked) takeConfig(it lhstore.Item) {
+func (m *Marked) takeConfig(it lhstore.Item) bool {
 	cfg, err := m.outside.Codec.DecodeConfig(it.Data)
 	if err != nil {
 		m.log.Error().Err(err).Uint64("at", it.Revision).Msg("configuration has faults")
 	}
-	if cfg.Revision != 0 && m.directory.SetConfig(cfg) {
-		m.log.Info().Uint64("revision", cfg.Revision).Int("routes", len(cfg.Routes)).
-			Uint64("at", it.Revision).Msg("configuration in force")
+	if cfg.Revision == 0 || !m.directory.SetConfig(cfg) {
+		return false
 	}
+	m.log.Info().Uint64("revision", cfg.Revision).Int("routes", len(cfg.Routes)).
+		Uint64("at", it.Revision).Msg("configuration in force")
+	return true
 }
 
 // update puts what is known into force. The lock is held.
 func (m *Marked) update() {
+	m.engine.SetCurrent(m.directory.Current(m.now()))
 	if t := m.directory.Table(m.now()); t != m.engine.Table() {
 		m.engine.SetTable(m.now(), t)
 	}
--- a/lhentry/serve.go
+++ b/lhentry/serve.go
@@ -15,7 +15,7 @@
 	server := &http.Server{Handler: h, ReadHeaderTimeout: opsTimeout, ErrorLog: faults}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(l); err != http.ErrServerClosed {
+	if err := server.Serve(l); ctx.Err() == nil && err != http.ErrServerClosed {
 		return lhcode.Wrap(lhcode.SocketFailed, err, "serve HTTP")
 	}
 	return nil
--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -3,12 +3,14 @@
 import "time"
 
 const (
+	// outageTime is the age of what is known from which on the store has been away: VMs
+	// read it or hear of it more often, and entries outlive a shorter silence.
+	outageTime = 2 * time.Second
 	// restoreTime is how long after an outage of the store a server is waited for
 	// that the store does not list: those that live are back within two seconds.
 	restoreTime = 2500 * time.Millisecond
-	// keepTime is how long the flows of a server that is gone are still sent to it,
-	// since a server may lose its entry and live on. It is the longest life that the
-	// platform promises to a flow.
+	// keepTime is how long a server that has ended is known, so that its flows can be
+	// reset. It is the longest life that the platform promises to a flow.
 	keepTime = 60 * time.Second
 )
 
@@ -18,12 +20,9 @@
 	cfg Config
 	// servers holds all servers that are or were listed, by name.
 	servers map[string]*listed
-	// away is set while the store does not answer, and back is when it last began to
-	// answer again, or 0.
-	away bool
-	back time.Duration
-	// reached is set once the store has answered.
-	reached bool
+	// asOf is when all that the store held was known, and back when it was reached again
+	// after an outage; 0 for never.
+	asOf, back time.Duration
 	// changed is set when the table in force is out of date.
 	changed bool
 	table   *Table
@@ -70,37 +69,27 @@
 		return false
 	}
 	l.missing, l.gone, l.until = true, now, now
-	if d.away || d.back > 0 && now < d.back+restoreTime {
-		l.until = d.back + restoreTime
+	if d.back > 0 {
+		l.until = max(now, d.back+restoreTime)
 	}
 	d.changed = true
 	return true
 }
 
-// Retain removes all servers but those named, and returns the removed.
-func (d *Directory) Retain(now time.Duration, names map[string]bool) []string {
-	var removed []string
-	for name := range d.servers {
-		if !names[name] && d.Remove(now, name) {
-			removed = append(removed, name)
-		}
+// Refresh says that all that the store held some time ago is known, or will be with
+// the changes that follow.
+func (d *Directory) Refresh(now, age time.Duration) {
+	if d.asOf > 0 && now-d.asOf > outageTime {
+		d.back = now
 	}
-	return removed
+	d.asOf = max(d.asOf, now-age, 1)
 }
 
-// SetReached says whether the store answers.
-func (d *Directory) SetReached(now time.Duration, ok bool) {
-	if ok && d.away {
-		d.back = max(now, 1)
-	}
-	d.away = !ok
-	d.reached = d.reached || ok
+// Current reports whether what the store does not list does not exist.
+func (d *Directory) Current(now time.Duration) bool {
+	return d.asOf > 0 && now-d.asOf <= outageTime
 }
 
-// Current reports whether the store answers, so that what it does not list does not
-// exist.
-func (d *Directory) Current() bool { return d.reached && !d.away }
-
 // Table returns what is known now. It returns the same table until that changes.
 func (d *Directory) Table(now time.Duration) *Table {
 	for name, l := range d.servers {
@@ -118,14 +107,14 @@
 	if d.table != nil && !d.changed {
 		return d.table
 	}
-	var serving, kept []*Server
+	var present, ended []*Server
 	for _, l := range d.servers {
 		if l.missing && now >= l.until {
-			kept = append(kept, l.server)
+			ended = append(ended, l.server)
 		} else {
-			serving = append(serving, l.server)
+			present = append(present, l.server)
 		}
 	}
-	d.table, d.changed = newTable(d.cfg, serving, kept), false
+	d.table, d.changed = newTable(d.cfg, present, ended), false
 	return d.table
 }
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -209,15 +209,19 @@
 		return drop(lhflow.ReasonServerGone)
 	}
 	d := toServer(server)
+	if t.Gone(r.server) && !ev.Flags.Has(lhflow.RST) {
+		// Nobody will answer; what a request in progress has come to is not known.
+		d.Verdict = lhflow.Verdict{Action: lhflow.Reset, Reason: lhflow.ReasonServerGone}
+	}
 	d.Known = known
 	d.Route, _ = t.Route(ev.Key)
-	if !known && !ev.Flags.Has(lhflow.RST) && e.Len() < e.limits.Flows {
+	if !known && d.Action == lhflow.ToServer && !ev.Flags.Has(lhflow.RST) && e.Len() < e.limits.Flows {
 		s.put(ev.Key, r)
 		e.size.Add(1)
 		e.gauge(server).add(1, 0)
 	}
 	e.measure(ev, r, &d)
-	if ev.Flags.Has(lhflow.RST) && known {
+	if known && (ev.Flags.Has(lhflow.RST) || d.Action == lhflow.Reset) {
 		e.end(s, ev.Key, r)
 	}
 	return d
--- a/lhmark/table.go
+++ b/lhmark/table.go
@@ -18,27 +18,33 @@
 	numbers map[uint32]*Server
 	// serving holds the servers of each service that take new flows, by name.
 	serving map[string][]*Server
+	// gone holds the numbers of servers that have ended, which are in numbers as well.
+	gone map[uint32]bool
 }
 
-// newTable returns the table of a configuration with those servers that take new
-// flows and those that only keep theirs.
-func newTable(cfg Config, serving, kept []*Server) *Table {
+// newTable returns the table of a configuration with the servers that there are and
+// those that have ended.
+func newTable(cfg Config, present, ended []*Server) *Table {
 	t := &Table{
 		cfg:     cfg,
 		routes:  make(map[netip.AddrPort]*Route, len(cfg.Routes)),
-		numbers: make(map[uint32]*Server, len(serving)+len(kept)),
+		numbers: make(map[uint32]*Server, len(present)+len(ended)),
 		serving: make(map[string][]*Server),
+		gone:    make(map[uint32]bool, len(ended)),
 	}
 	for i := range cfg.Routes {
 		t.routes[cfg.Routes[i].Address] = &cfg.Routes[i]
 	}
-	for _, s := range kept {
+	for _, s := range ended {
 		t.number(s)
 	}
-	for _, s := range serving {
+	for _, s := range present {
 		t.number(s)
 	}
-	for _, s := range serving {
+	for _, s := range ended {
+		t.gone[s.Number] = t.numbers[s.Number] == s
+	}
+	for _, s := range present {
 		// A server whose number is another's gets no flows: its marks would lead there.
 		if t.numbers[s.Number] == s && s.State == lhconf.Serving {
 			t.serving[s.Service] = append(t.serving[s.Service], s)
@@ -90,6 +96,9 @@
 	return s, ok
 }
 
+// Gone reports whether the server with a number has ended.
+func (t *Table) Gone(number uint32) bool { return t.gone[number] }
+
 // service returns the service that a new flow goes to. All VMs with the same route
 // choose the same one.
 func (r *Route) service(id lhflow.ID) string {
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -28,50 +28,70 @@
 	More bool
 }
 
+// News is what changed in a store between two revisions, as far as it matters.
+type News struct {
+	After, Revision uint64
+	// Age is the time since the store was read.
+	Age   time.Duration
+	Items []Item
+}
+
 // Feed is a store whose changes can be followed.
 type Feed interface {
-	// List returns the items that begin with prefix, in order, from behind a key.
-	List(ctx context.Context, prefix, after string) (Page, error)
+	// List returns all items in order, from behind a key.
+	List(ctx context.Context, after string) (Page, error)
 	// Changes waits for changes after a revision. It returns an empty page when
 	// there were none in the time, and an error with lhcode.HistoryLost when the
 	// store does not have them any more.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
+	Changes(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 }
 
-// Consumer takes what a Mirror reads. Its methods are called from one goroutine.
+// Consumer takes what a Mirror learns. Its methods are called from one goroutine.
 type Consumer interface {
-	// Listed takes all items there are.
-	Listed(items []Item)
-	// Changed takes changes in the order of their revisions.
-	Changed(items []Item)
-	// Reached says whether the last call was answered, each time that changes.
+	// Changed takes items whose revisions it has not seen, and returns those that say
+	// anything new.
+	Changed(items []Item) []Item
+	// Reached says whether the last call to the store was answered, each time that
+	// changes.
 	Reached(ok bool, cause error)
+	// Refreshed says that everything up to a revision, which the store had some time
+	// ago, is known with the items that Changed gets next.
+	Refreshed(revision uint64, age time.Duration)
+}
+
+// Spread is how the VMs of a deployment share what they read.
+type Spread interface {
+	// Patience returns how old what the VM knows may become until it reads the store.
+	Patience() time.Duration
+	// Tell passes on what was read.
+	Tell(News)
+	// Heard gives what others have read.
+	Heard() <-chan News
 }
 
 const (
-	// MirrorPace is the least time between two watches, in which changes gather so
-	// that one call returns them: a fifth of the time in which a server that drains
-	// has to be known everywhere leaves room for failed calls.
-	MirrorPace = 600 * time.Millisecond
 	// MirrorWait is how long a watch waits. A connection that has gone silent is
 	// noticed only after it.
 	MirrorWait = time.Second
-	// retryFirst and retryLongest are the pauses after failed calls.
-	retryFirst   = 100 * time.Millisecond
-	retryLongest = 800 * time.Millisecond
+	// retryFirst is the pause after a failed call, retryFactor what the pause grows
+	// to: so many times the patience of the VM, as failed calls cost as well.
+	retryFirst  = 100 * time.Millisecond
+	retryFactor = 1.5
+	// deletedLife is how long the revision of a removed key is kept, so that older
+	// news can't bring it back.
+	deletedLife = time.Minute
 )
 
-// Mirror follows everything under some prefixes of a store: it lists them once and
-// then watches for changes, and lists again when the store has lost its history or
-// a watch brings nothing. Watches may miss changes while the store drops history;
-// a store whose entries change all the time and that reports nothing is suspect.
+// Mirror follows a store: it lists it once and then watches for changes, or hears of
+// them from other VMs. It lists again when the store has lost its history or a watch
+// brings nothing: watches may miss changes while the store drops history, and a store
+// whose entries change all the time and that reports nothing is suspect.
 type Mirror struct {
 	// Feed is the store.
 	Feed Feed
-	// Prefixes are listed one by one, Watched is a prefix of all of them.
-	Prefixes []string
-	Watched  string
-	// Consumer takes what is read.
+	// Spread shares what is read.
+	Spread Spread
+	// Consumer takes what is learned.
 	Consumer Consumer
 	Log      zerolog.Logger
 }
@@ -80,9 +100,9 @@
 func (m Mirror) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		f := mirroring{Mirror: m, pause: retryFirst}
+		f := newMirroring(m)
 		for ctx.Err() == nil {
-			sleep(ctx, f.step(ctx))
+			f.turn(ctx)
 		}
 		done <- nil
 	}()
@@ -92,96 +112,197 @@
 // mirroring is the state of a running Mirror.
 type mirroring struct {
 	Mirror
-	// listed is set while all that was listed is still followed by watches.
+	// keys holds the revision of the last change of each key.
+	keys map[string]keyState
+	// listed is set while all that was listed is still followed.
 	listed bool
 	// after is the revision up to which all changes are known.
 	after uint64
-	// reached is whether the last call was answered.
-	reached bool
+	// due is when the store is read next, and missed is set where that is because news
+	// were missed: the others know by then what is read.
+	due    time.Time
+	missed bool
+	// unreached is set while the store does not answer; started is not until a call
+	// has been made.
+	started, unreached bool
 	// pause is how long to wait after the next failure.
 	pause time.Duration
 }
 
-// step makes one listing or watch and returns the pause until the next.
-func (f *mirroring) step(ctx context.Context) time.Duration {
-	begun := time.Now()
-	var err error
-	if f.listed {
-		err = f.watch(ctx)
-	} else {
-		err = f.list(ctx)
+// keyState is the last change of a key; ended is set to the time of its removal.
+type keyState struct {
+	revision uint64
+	ended    time.Time
+}
+
+func newMirroring(m Mirror) *mirroring {
+	return &mirroring{Mirror: m, keys: make(map[string]keyState), pause: retryFirst}
+}
+
+// turn waits until the store is to be read, or for news.
+func (f *mirroring) turn(ctx context.Context) {
+	t := time.NewTimer(time.Until(f.due))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case n := <-f.Spread.Heard():
+		f.hear(n)
+	case <-t.C:
+		f.read(ctx)
+	}
+}
+
+// hear takes news of another VM. What begins behind the revision that is known here
+// has a gap before it, and the store is read at once.
+func (f *mirroring) hear(n News) {
+	if !f.listed {
+		return
+	}
+	if n.After > f.after {
+		f.Log.Debug().Uint64("after", n.After).Uint64("known", f.after).Msg("news missed; reading the store")
+		f.due, f.missed = time.Now(), true
+		return
+	}
+	f.known(max(f.after, n.Revision), n.Age)
+	f.apply(n.Items)
+}
+
+// known notes that everything up to a revision was known some time ago.
+func (f *mirroring) known(revision uint64, age time.Duration) {
+	f.after = revision
+	if due := time.Now().Add(f.Spread.Patience() - age); due.After(f.due) {
+		f.due = due
 	}
+	f.Consumer.Refreshed(revision, age)
+}
+
+// read makes one listing or watch and passes on what it brings.
+func (f *mirroring) read(ctx context.Context) {
+	begun, before, first, relisted := time.Now(), f.after, f.after == 0, !f.listed
+	items, revision, err := f.fetch(ctx)
 	if lhcode.Of(err) == lhcode.HistoryLost {
 		f.Log.Info().Uint64("after", f.after).Msg("store has dropped its history; listing again")
 		f.listed = false
-		return 0
+		return
 	}
 	f.note(ctx, err)
 	if err != nil {
-		pause := f.pause
-		f.pause = min(2*f.pause, retryLongest)
-		return pause
+		f.due = time.Now().Add(f.pause)
+		f.pause = min(2*f.pause, time.Duration(retryFactor*float64(f.Spread.Patience())))
+		return
+	}
+	missed := f.missed
+	f.pause, f.missed = retryFirst, false
+	if revision == 0 {
+		// A watch that brings nothing says nothing.
+		f.listed, f.due = false, time.Now()
+		return
 	}
-	f.pause = retryFirst
-	return max(MirrorPace-time.Since(begun), 0)
+	f.due = begun
+	f.known(revision, time.Since(begun))
+	changed := f.apply(items)
+	if first || missed {
+		return
+	}
+	if relisted {
+		// What is new here depends on what this VM has missed, and others have not.
+		changed = since(items, before)
+	}
+	f.Spread.Tell(News{After: before, Revision: revision, Items: changed})
+}
+
+// fetch reads what has changed and the revision up to which that is all; 0 where
+// nothing was said.
+func (f *mirroring) fetch(ctx context.Context) ([]Item, uint64, error) {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	page, err := f.Feed.Changes(ctx, f.after, MirrorWait)
+	if err != nil || len(page.Items) == 0 {
+		return nil, 0, err
+	}
+	return page.Items, max(f.after, page.Revision), nil
 }
 
 func (f *mirroring) note(ctx context.Context, err error) {
-	if ctx.Err() != nil || f.reached == (err == nil) {
+	if ctx.Err() != nil || f.started && f.unreached == (err != nil) {
 		return
 	}
-	f.reached = err == nil
-	f.Consumer.Reached(f.reached, err)
+	f.started, f.unreached = true, err != nil
+	f.Consumer.Reached(err == nil, err)
 }
 
-// list reads all items. Pages are no snapshot, so watches begin at the revision of
-// the first one.
-func (f *mirroring) list(ctx context.Context) error {
+// list reads all items, and gives the end of those that are known and not listed.
+// Pages are no snapshot, so watches begin at the revision of the first one.
+func (f *mirroring) list(ctx context.Context) ([]Item, uint64, error) {
 	var all []Item
 	first := uint64(0)
-	for _, prefix := range f.Prefixes {
-		for after := ""; ; {
-			page, err := f.Feed.List(ctx, prefix, after)
-			if err != nil {
-				return err
-			}
-			if first == 0 {
-				first = page.Revision
-			}
-			all = append(all, page.Items...)
-			if !page.More || len(page.Items) == 0 {
-				break
-			}
+	for after, more := "", true; more; {
+		page, err := f.Feed.List(ctx, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		all = append(all, page.Items...)
+		if more = page.More && len(page.Items) > 0; more {
 			after = page.Items[len(page.Items)-1].Key
 		}
 	}
-	f.listed, f.after = true, first
-	f.Consumer.Listed(all)
-	return nil
+	f.listed = true
+	return append(all, f.missing(all, first)...), first, nil
 }
 
-func (f *mirroring) watch(ctx context.Context) error {
-	page, err := f.Feed.Changes(ctx, f.Watched, f.after, MirrorWait)
-	if err != nil {
-		return err
+// since returns the items that changed after a revision.
+func since(items []Item, revision uint64) []Item {
+	var later []Item
+	for _, it := range items {
+		if it.Revision > revision {
+			later = append(later, it)
+		}
 	}
-	f.after = max(f.after, page.Revision)
-	if len(page.Items) == 0 {
-		f.listed = false
-		return nil
+	return later
+}
+
+// missing returns the removals of the keys that are not listed.
+func (f *mirroring) missing(listed []Item, revision uint64) []Item {
+	there := make(map[string]bool, len(listed))
+	for _, it := range listed {
+		there[it.Key] = true
+	}
+	var gone []Item
+	for key, k := range f.keys {
+		if !there[key] && k.ended.IsZero() {
+			gone = append(gone, Item{Key: key, Revision: max(revision, k.revision+1), Deleted: true})
+		}
 	}
-	f.Consumer.Changed(page.Items)
-	return nil
+	return gone
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
+// apply hands on the items that are newer than what is known of their keys, and
+// returns those that say anything new.
+func (f *mirroring) apply(items []Item) []Item {
+	var newer []Item
+	now := time.Now()
+	for _, it := range items {
+		if k, ok := f.keys[it.Key]; ok && it.Revision <= k.revision {
+			continue
+		}
+		k := keyState{revision: it.Revision}
+		if it.Deleted {
+			k.ended = now
+		}
+		f.keys[it.Key] = k
+		newer = append(newer, it)
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+	for key, k := range f.keys {
+		if !k.ended.IsZero() && now.Sub(k.ended) > deletedLife {
+			delete(f.keys, key)
+		}
+	}
+	if len(newer) == 0 {
+		return nil
 	}
+	return f.Consumer.Changed(newer)
 }
