lhflow: hand over tests of marked flows, news and the platform's formats

Cause: the whole path had no tests. Found: resets went to the port of the settings instead of the socket's.

--- a/lhentry/marked_forward.go
+++ b/lhentry/marked_forward.go
@@ -45,7 +45,7 @@
 		m.send(d.To.Address)
 	case lhflow.Refuse, lhflow.Reset:
 		m.out = m.outside.Codec.AppendReset(m.out[:0], &ev)
-		m.send(netip.AddrPortFrom(ev.Key.CallerAddr().Addr(), m.settings.Load().Data.Port()))
+		m.send(netip.AddrPortFrom(ev.Key.CallerAddr().Addr(), m.Data().Port()))
 	}
 	m.explain(&ev, &d)
 }
--- /dev/null
+++ b/lhentry/marked_test.go
@@ -0,0 +1,393 @@
+package lhentry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhentry"
+	"github.com/laburnumhollow/laburnumhollow/lhops"
+	lhplatform "github.com/laburnumhollow/laburnumhollow/platform"
+	lhplatformstand "github.com/laburnumhollow/laburnumhollow/platform/stand"
+)
+
+// markedService is where callers connect to.
+var markedService = netip.MustParseAddrPort("198.18.0.1:8443")
+
+// logBuffer holds what a process logs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) lines(message string) []map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []map[string]any
+	for line := range strings.Lines(b.text.String()) {
+		fields := make(map[string]any)
+		if json.Unmarshal([]byte(line), &fields) == nil && fields["message"] == message {
+			found = append(found, fields)
+		}
+	}
+	return found
+}
+
+// markedVM is a running process.
+type markedVM struct {
+	*lhentry.Marked
+	log        *logBuffer
+	stop, kill context.CancelFunc
+	ended      <-chan error
+	reread     chan os.Signal
+	settings   lhconf.MarkedSettings
+}
+
+// markedFleet is a store, backend servers, VMs and a caller on loopback addresses.
+type markedFleet struct {
+	t       *testing.T
+	store   *lhplatformstand.Store
+	servers []*lhplatformstand.Server
+	vms     []*markedVM
+	caller  *lhplatformstand.Caller
+}
+
+// newMarkedFleet starts a fleet. All VMs receive packets at one port, each at an
+// address of its own.
+func newMarkedFleet(t *testing.T, vms, servers int) *markedFleet {
+	t.Helper()
+	f := &markedFleet{t: t, store: lhplatformstand.NewStore()}
+	t.Cleanup(f.store.Close)
+	f.configure(1, markedService)
+	for i := range vms {
+		f.startVM(i)
+	}
+	port := f.vms[0].Data().Port()
+	for i := range servers {
+		s, err := lhplatformstand.NewServer(uint32(i+1), "orders", fmt.Sprintf("dc-%d", i%2), port)
+		assert.NilError(t, err)
+		t.Cleanup(s.Close)
+		s.Register(f.store, "ready", 1)
+		f.servers = append(f.servers, s)
+	}
+	var err error
+	f.caller, err = lhplatformstand.NewCaller(netip.AddrPortFrom(netip.MustParseAddr("127.0.1.1"), port))
+	assert.NilError(t, err)
+	t.Cleanup(f.caller.Close)
+	f.route()
+	f.await("all VMs know all servers", func() bool {
+		for _, v := range f.vms {
+			if d := v.Dump(); len(d.Services) != 1 || len(d.Services[0].Servers) != servers {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+// configure writes a configuration with routes to the service.
+func (f *markedFleet) configure(version int, routes ...netip.AddrPort) {
+	var list []map[string]any
+	for i, r := range routes {
+		list = append(list, map[string]any{
+			"name": fmt.Sprint("r-", i), "hostname": r.Addr().String(), "prefix": fmt.Sprintf("/%d/", r.Port()),
+			"route_kind": "safe", "service": "orders",
+		})
+	}
+	text, err := json.Marshal(map[string]any{"version": version, "routes": list})
+	assert.NilError(f.t, err)
+	f.store.Put("op/config", text)
+}
+
+// startVM starts the VM with a number, or starts it again.
+func (f *markedFleet) startVM(i int) *markedVM {
+	f.t.Helper()
+	address := netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)})
+	s := lhconf.DefaultMarkedSettings()
+	s.Name, s.DataCentre, s.Platform = fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", i%2), f.store.URL()
+	s.Data = netip.AddrPortFrom(address, 0)
+	if len(f.vms) > 0 {
+		s.Data = netip.AddrPortFrom(address, f.vms[0].Data().Port())
+	}
+	s.Ready, s.Ops, s.Control = netip.AddrPortFrom(address, 0), netip.AddrPortFrom(address, 0), netip.AddrPortFrom(address, 0)
+	v := &markedVM{log: &logBuffer{}, reread: make(chan os.Signal, 1), settings: s}
+	outside := lhentry.Outside{
+		Codec: lhplatform.Codec{}, Store: lhplatform.NewStore(s.Platform), Ready: lhplatform.NewReadyHandler,
+		Reload: lhentry.Reload{Now: v.reread, Read: func() (lhconf.MarkedSettings, error) {
+			if v.settings.Name == "" {
+				return lhconf.MarkedSettings{}, errors.New("unreadable")
+			}
+			return v.settings, nil
+		}},
+	}
+	var err error
+	v.Marked, err = lhentry.NewMarked(s, outside, zerolog.New(v.log))
+	assert.NilError(f.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	kill, end := context.WithCancel(context.Background())
+	v.stop, v.kill = stop, end
+	ended := make(chan error, 1)
+	v.ended = ended
+	run := v.Run(ctx, kill)
+	go func() { ended <- <-run; close(ended) }()
+	f.t.Cleanup(func() {
+		stop()
+		end()
+		<-v.ended
+	})
+	if i < len(f.vms) {
+		f.vms[i] = v
+	} else {
+		f.vms = append(f.vms, v)
+	}
+	return v
+}
+
+// route has the caller send packets to the VMs with these numbers, or to all.
+func (f *markedFleet) route(vms ...int) {
+	var to []netip.AddrPort
+	for i, v := range f.vms {
+		if len(vms) == 0 || slices.Contains(vms, i) {
+			to = append(to, v.Data())
+		}
+	}
+	f.caller.SetVMs(to...)
+}
+
+func (f *markedFleet) await(what string, condition func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
+}
+
+// requestTimeout is longer than any caller's patience, so that only a packet that is
+// lost for good fails a request.
+const requestTimeout = 30 * time.Second
+
+func (f *markedFleet) open() *lhplatformstand.Flow {
+	f.t.Helper()
+	for range 5 {
+		flow, err := f.caller.Open(markedService)
+		if err == nil {
+			return flow
+		}
+	}
+	f.t.Fatal("no flow could be opened")
+	return nil
+}
+
+func (f *markedFleet) request(flow *lhplatformstand.Flow) {
+	f.t.Helper()
+	assert.NilError(f.t, flow.Request([]byte("order"), requestTimeout))
+}
+
+// TestMarkedServes opens flows whose packets go to two VMs in turn.
+func TestMarkedServes(t *testing.T) {
+	f := newMarkedFleet(t, 2, 4)
+	for range 20 {
+		flow := f.open()
+		for range 3 {
+			f.request(flow)
+		}
+		flow.Close()
+	}
+	for _, s := range f.servers {
+		assert.Equal(t, s.Alien(), 0)
+		assert.Equal(t, s.Repeated(), 0)
+	}
+	lines := f.vms[0].log.lines("flow to server")
+	assert.Assert(t, len(lines) > 0)
+	for _, key := range []string{"caller", "to", "seq", "revision", "route", "server", "datacentre", "reason"} {
+		_, ok := lines[0][key]
+		assert.Assert(t, ok, "line about a flow without %s", key)
+	}
+}
+
+// TestMarkedFlowSurvivesVMs replaces both VMs one after the other under an open flow.
+func TestMarkedFlowSurvivesVMs(t *testing.T) {
+	f := newMarkedFleet(t, 2, 4)
+	flow := f.open()
+	f.request(flow)
+	for i := range f.vms {
+		f.route(1 - i)
+		old := f.vms[i]
+		old.stop()
+		assert.NilError(t, <-old.ended)
+		f.request(flow)
+		v := f.startVM(i)
+		f.await("the new VM is ready", func() bool { return v.Health().Ready() })
+	}
+	f.request(flow)
+}
+
+// TestMarkedVMIsKilled kills a VM and goes on at the other.
+func TestMarkedVMIsKilled(t *testing.T) {
+	f := newMarkedFleet(t, 2, 3)
+	flow := f.open()
+	f.vms[0].kill()
+	assert.NilError(t, <-f.vms[0].ended)
+	f.route(1)
+	f.request(flow)
+}
+
+// TestMarkedDrain checks that a server which drains gets no new flow and keeps its own.
+func TestMarkedDrain(t *testing.T) {
+	f := newMarkedFleet(t, 1, 2)
+	flow := f.open()
+	server := f.servers[flow.Mark()-1]
+	server.Register(f.store, "draining", 2)
+	f.await("the VM knows", func() bool { return len(f.vms[0].Dump().Services[0].Servers) == 1 })
+	before := server.Flows()
+	for range 10 {
+		f.request(f.open())
+	}
+	assert.Equal(t, server.Flows(), before)
+	f.request(flow)
+}
+
+// TestMarkedSilentServer checks that callers reach another server when theirs is
+// silent, and that a flow of a server that has ended is reset.
+func TestMarkedSilentServer(t *testing.T) {
+	f := newMarkedFleet(t, 1, 2)
+	flow := f.open()
+	silent := f.servers[flow.Mark()-1]
+	silent.SetSilent(true)
+	for range 6 {
+		f.request(f.open())
+	}
+	f.store.Remove(silent.Key())
+	f.await("the VM knows", func() bool { return len(f.vms[0].Dump().Services[0].Servers) == 1 })
+	assert.ErrorIs(t, flow.Request([]byte("order"), requestTimeout), lhplatformstand.ErrReset)
+}
+
+// TestMarkedConfiguration checks that a change comes into force at all VMs, and that
+// what has no route is refused.
+func TestMarkedConfiguration(t *testing.T) {
+	f := newMarkedFleet(t, 2, 2)
+	other := netip.MustParseAddrPort("198.18.0.2:80")
+	_, err := f.caller.Open(other)
+	assert.ErrorIs(t, err, lhplatformstand.ErrReset)
+	f.configure(5, markedService, other)
+	f.await("both VMs have it", func() bool {
+		return f.vms[0].Dump().Revision == 5 && f.vms[1].Dump().Revision == 5
+	})
+	_, err = f.caller.Open(other)
+	assert.NilError(t, err)
+}
+
+// TestMarkedOutage checks that open and new flows are served while the store is away
+// in each of its ways, and that entries which lapse meanwhile do no harm.
+func TestMarkedOutage(t *testing.T) {
+	for _, fault := range []lhplatformstand.Fault{lhplatformstand.Refuses, lhplatformstand.Resets, lhplatformstand.Hangs} {
+		t.Run(fmt.Sprint(fault), func(t *testing.T) {
+			t.Parallel()
+			f := newMarkedFleet(t, 2, 2)
+			flow := f.open()
+			f.store.Fail(fault)
+			f.await("a VM misses the store", func() bool {
+				return len(f.vms[0].log.lines("store does not answer"))+len(f.vms[1].log.lines("store does not answer")) > 0
+			})
+			f.request(flow)
+			f.request(f.open())
+			f.store.LapseAll()
+			f.store.Fail(lhplatformstand.Works)
+			f.await("both VMs have entries again", func() bool { return len(f.store.Keys("vm/")) == 2 })
+			f.request(flow)
+		})
+	}
+}
+
+// TestMarkedOneReader checks that one VM reads the store for all.
+func TestMarkedOneReader(t *testing.T) {
+	f := newMarkedFleet(t, 5, 2)
+	f.await("all know each other", func() bool { return len(f.store.Keys("vm/")) == 5 })
+	f.await("all are told", func() bool {
+		told := 0
+		for _, v := range f.vms {
+			if v.Dump().Counters["news_received"] > 3 {
+				told++
+			}
+		}
+		return told >= 4
+	})
+}
+
+// TestMarkedReload checks what becomes of changed and of unreadable settings.
+func TestMarkedReload(t *testing.T) {
+	f := newMarkedFleet(t, 1, 1)
+	v := f.vms[0]
+	v.reread <- os.Interrupt
+	f.await("read again", func() bool { return len(v.log.lines("settings read again; nothing has changed")) == 1 })
+	v.settings.Lines = 7
+	v.reread <- os.Interrupt
+	f.await("changed", func() bool { return len(v.log.lines("settings changed")) == 1 })
+	assert.Equal(t, v.log.lines("settings changed")[0]["restart"], false)
+	v.settings.DataCentre = "elsewhere"
+	v.reread <- os.Interrupt
+	f.await("changed again", func() bool { return len(v.log.lines("settings changed")) == 2 })
+	assert.Equal(t, v.log.lines("settings changed")[1]["restart"], true)
+	v.settings.Name = ""
+	v.reread <- os.Interrupt
+	f.await("refused", func() bool {
+		return len(v.log.lines("settings can't be read again; the present ones stay in force")) == 1
+	})
+	f.request(f.open())
+}
+
+// TestMarkedReadiness checks what routers and operators are told.
+func TestMarkedReadiness(t *testing.T) {
+	f := newMarkedFleet(t, 1, 1)
+	v := f.vms[0]
+	status := func(url string) int {
+		response, err := http.Get(url)
+		if err != nil {
+			return 0
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	ready := fmt.Sprintf("http://%s/readiness", v.Ready())
+	assert.Equal(t, status(ready), http.StatusOK)
+	f.request(f.open())
+	response, err := http.Get(fmt.Sprintf("http://%s/metrics", v.Ops()))
+	assert.NilError(t, err)
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	for _, name := range []string{"laburnumhollow_flow_handshake_seconds_bucket", "laburnumhollow_events_total"} {
+		assert.Assert(t, strings.Contains(string(text), name), "%s", name)
+	}
+	v.stop()
+	f.await("routers are turned away", func() bool { return status(ready) == http.StatusServiceUnavailable })
+	assert.Equal(t, v.Health().State, lhops.Leaving)
+	f.request(f.open())
+	assert.NilError(t, <-v.ended)
+	assert.Equal(t, len(f.store.Keys("vm/")), 0, "the entry is gone with the VM")
+}
--- a/lhspread/order.go
+++ b/lhspread/order.go
@@ -36,11 +36,17 @@
 // The keys of the hash that orders members. They are no secret.
 const orderKey0, orderKey1 = 0x7370726561642d30, 0x7370726561642d31
 
-// less orders members by a hash of their names.
-func less(a, b Member) int {
-	x := siphash.Hash(orderKey0, orderKey1, []byte(a.Name))
-	y := siphash.Hash(orderKey0, orderKey1, []byte(b.Name))
-	return cmp.Or(cmp.Compare(x, y), cmp.Compare(a.Name, b.Name))
+// sorted returns members in the order of a hash of their names.
+func sorted(members []Member) []Member {
+	all := slices.Clone(members)
+	hashes := make(map[string]uint64, len(all))
+	for _, m := range all {
+		hashes[m.Name] = siphash.Hash(orderKey0, orderKey1, []byte(m.Name))
+	}
+	slices.SortFunc(all, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(hashes[a.Name], hashes[b.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	return all
 }
 
 // Order is the order of all VMs as one of them sees it. It is never changed; the zero
@@ -55,8 +61,7 @@
 
 // NewOrder returns the order of members as the VM named self sees it.
 func NewOrder(self string, members []Member) *Order {
-	all := slices.Clone(members)
-	slices.SortFunc(all, less)
+	all := sorted(members)
 	o := &Order{self: self, groups: make(map[string][]Member), rank: len(all)}
 	for i, m := range all {
 		if m.Name == self {
