lhflow: hand over no server as ended before the store is known again

Change: a missing server has ended once the store is known at a time after the wait. A server of another data centre now costs 4 times its load instead of 2.5. TestOutage 'outage, then cut off' fails without the change.

--- a/lhmark/choose.go
+++ b/lhmark/choose.go
@@ -15,7 +15,7 @@
 	sample = 3
 	// awayCost is how much dearer a server of another data centre is: its answers
 	// take longer, and a cut between data centres would part the flow from it.
-	awayCost = 2.5
+	awayCost = 4
 )
 
 // candidate is a server that may get a new flow.
--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -34,8 +34,10 @@
 	// missing is set while the store lists no entry, since the time gone.
 	missing bool
 	gone    time.Duration
-	// until is when a server whose entry is missing takes no new flows any more.
+	// until is the time of which the store has to be known for the server to have ended.
 	until time.Duration
+	// ended is set once it has.
+	ended bool
 }
 
 // SetConfig takes a configuration, unless it is older than the one in force.
@@ -68,9 +70,9 @@
 	if l == nil || l.missing {
 		return false
 	}
-	l.missing, l.gone, l.until = true, now, now
+	l.missing, l.gone, l.until = true, now, d.asOf
 	if d.back > 0 {
-		l.until = max(now, d.back+restoreTime)
+		l.until = max(d.asOf, d.back+restoreTime)
 	}
 	d.changed = true
 	return true
@@ -96,10 +98,10 @@
 		if !l.missing {
 			continue
 		}
-		if l.until != 0 && now >= l.until {
-			l.until, d.changed = 0, true
+		if !l.ended && d.asOf >= l.until {
+			l.ended, d.changed = true, true
 		}
-		if now-l.gone > keepTime {
+		if l.ended && now-l.gone > keepTime {
 			delete(d.servers, name)
 			d.changed = true
 		}
@@ -109,7 +111,7 @@
 	}
 	var present, ended []*Server
 	for _, l := range d.servers {
-		if l.missing && now >= l.until {
+		if l.ended {
 			ended = append(ended, l.server)
 		} else {
 			present = append(present, l.server)
--- a/lhmark/directory_test.go
+++ b/lhmark/directory_test.go
@@ -22,12 +22,15 @@
 		// at is when the flow is looked at, and want what becomes of its packets.
 		at   time.Duration
 		want lhflow.Action
+		// cut is set where the VM hears nothing more after the outage.
+		cut bool
 	}{
-		{"no outage", time.Second, 0, 0, lhflow.Reset},
-		{"outage, at once", 5 * time.Second, 0, 0, lhflow.ToServer},
-		{"outage, still waiting", 5 * time.Second, 0, 2 * time.Second, lhflow.ToServer},
-		{"outage, never back", 5 * time.Second, 0, 3 * time.Second, lhflow.Reset},
-		{"outage, back", 5 * time.Second, 1900 * time.Millisecond, 3 * time.Second, lhflow.ToServer},
+		{"no outage", time.Second, 0, 0, lhflow.Reset, false},
+		{"outage, at once", 5 * time.Second, 0, 0, lhflow.ToServer, false},
+		{"outage, still waiting", 5 * time.Second, 0, 2 * time.Second, lhflow.ToServer, false},
+		{"outage, never back", 5 * time.Second, 0, 3 * time.Second, lhflow.Reset, false},
+		{"outage, back", 5 * time.Second, 1900 * time.Millisecond, 3 * time.Second, lhflow.ToServer, false},
+		{"outage, then cut off", 5 * time.Second, 0, 30 * time.Second, lhflow.ToServer, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -44,7 +47,10 @@
 				v.refresh()
 			}
 			v.now += c.at - c.back
-			v.refresh()
+			if !c.cut {
+				v.refresh()
+			}
+			v.update()
 			assert.Equal(t, v.request(1, 1, 0).Action, c.want)
 		})
 	}
