--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -95,6 +95,8 @@
 	// to: so many times the patience of the VM, as failed calls cost as well.
 	retryFirst  = 100 * time.Millisecond
 	retryFactor = 1.5
+	// retryStart bounds the pause of a VM that has read nothing yet and so serves nobody.
+	retryStart = 200 * time.Millisecond
 	// deletedLife is how long the revision of a removed key is kept, so that older
 	// news can't bring it back.
 	deletedLife = time.Minute
@@ -206,7 +208,7 @@
 	f.note(ctx, err)
 	if err != nil {
 		f.due = time.Now().Add(f.pause)
-		f.pause = min(2*f.pause, time.Duration(retryFactor*float64(f.Spread.Patience())))
+		f.pause = min(2*f.pause, f.longestPause())
 		return
 	}
 	missed := f.missed
@@ -229,6 +231,14 @@
 	f.Spread.Tell(News{After: before, Revision: revision, Items: latest(changed)})
 }
 
+// longestPause returns the longest pause between calls that fail.
+func (f *mirroring) longestPause() time.Duration {
+	if f.after == 0 {
+		return retryStart
+	}
+	return time.Duration(retryFactor * float64(f.Spread.Patience()))
+}
+
 // fetch reads what has changed and the revision up to which that is all; 0 where
 // nothing was said.
 func (f *mirroring) fetch(ctx context.Context) ([]Item, uint64, error) {
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -323,6 +323,21 @@
 	assert.DeepEqual(t, v.ok, []bool{true, false, true})
 }
 
+// TestMirrorStartsInAnOutage checks that a VM which knows nothing asks often.
+func TestMirrorStartsInAnOutage(t *testing.T) {
+	l := newLedger()
+	l.write("a", "1")
+	l.failing = true
+	v := newView(l)
+	for range 10 {
+		v.read(context.Background())
+		assert.Assert(t, time.Until(v.due) <= retryStart)
+	}
+	l.failing = false
+	v.readAll()
+	assert.DeepEqual(t, v.values, l.values())
+}
+
 // TestMirrorRuns checks the whole loop: news are taken while no reading is due.
 func TestMirrorRuns(t *testing.T) {
 	l := newLedger()
