--- a/lhentry/marked_forward.go
+++ b/lhentry/marked_forward.go
@@ -82,7 +82,7 @@
 		m.lines.info().Str("server", d.To.Name).Dur("after", d.After).Msg("backend server answers again")
 	}
 	if d.Silent != nil {
-		m.lines.warn().Str("server", d.Silent.Name).Int("failures", d.Failures).
+		m.lines.warn().Str("server", d.Silent.Name).Str("datacentre", d.Silent.DataCentre).Int("failures", d.Failures).
 			Stringer("caller", ev.Key.CallerAddr()).Uint32("seq", ev.Seq).Msg("backend server left a SYN unanswered")
 	}
 	var line *zerolog.Event
--- a/lhentry/marked_state.go
+++ b/lhentry/marked_state.go
@@ -17,8 +17,8 @@
 	storeRevision atomic.Uint64
 	// storeKnown is the process's time of which that revision is, in nanoseconds.
 	storeKnown atomic.Int64
-	actions       [lhflow.Reset + 1]atomic.Uint64
-	reasons       [lhflow.ReasonCount]atomic.Uint64
+	actions    [lhflow.Reset + 1]atomic.Uint64
+	reasons    [lhflow.ReasonCount]atomic.Uint64
 }
 
 // byName returns all counters by name.
--- a/lhentry/marked_test.go
+++ b/lhentry/marked_test.go
@@ -72,6 +72,8 @@
 	servers []*lhplatformstand.Server
 	vms     []*markedVM
 	caller  *lhplatformstand.Caller
+	// requests counts the requests, which each have a number of their own.
+	requests int
 }
 
 // newMarkedFleet starts a fleet. All VMs receive packets at one port, each at an
@@ -96,6 +98,7 @@
 	f.caller, err = lhplatformstand.NewCaller(netip.AddrPortFrom(netip.MustParseAddr("127.0.1.1"), port))
 	assert.NilError(t, err)
 	t.Cleanup(f.caller.Close)
+	f.caller.Spray = true
 	f.route()
 	f.await("all VMs know all servers", func() bool {
 		for _, v := range f.vms {
@@ -205,7 +208,8 @@
 
 func (f *markedFleet) request(flow *lhplatformstand.Flow) {
 	f.t.Helper()
-	assert.NilError(f.t, flow.Request([]byte("order"), requestTimeout))
+	f.requests++
+	assert.NilError(f.t, flow.Request(fmt.Appendf(nil, "order %d", f.requests), requestTimeout))
 }
 
 // TestMarkedServes opens flows whose packets go to two VMs in turn.
@@ -220,7 +224,9 @@
 	}
 	for _, s := range f.servers {
 		assert.Equal(t, s.Alien(), 0)
-		assert.Equal(t, s.Repeated(), 0)
+		for request, times := range s.Ran() {
+			assert.Equal(t, times, 1, request)
+		}
 	}
 	lines := slices.DeleteFunc(f.vms[0].log.lines("flow to server"), func(line map[string]any) bool {
 		return line["attempt"] == nil
--- /dev/null
+++ b/lhmark/bench_test.go
@@ -0,0 +1,71 @@
+package lhmark
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+)
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkRecords measures the memory of a flow's record.
+func BenchmarkRecords(b *testing.B) {
+	const flows = 100_000
+	for b.Loop() {
+		v := &vm{Engine: NewEngine("a", Limits{Flows: flows}), now: time.Minute}
+		v.directory.SetConfig(Config{Revision: 1, Routes: []Route{{Address: service, Parts: []Part{{Service: "x"}}}}})
+		for n := uint32(1); n <= 4; n++ {
+			v.directory.Set(server(n, "a"))
+		}
+		v.refresh()
+		before := heap()
+		for i := range uint32(flows) {
+			ev := packet(uint16(i), lhflow.SYN)
+			ev.Key.Caller[15] = byte(i >> 16)
+			ev.ID = lhflow.Seed{}.ID(ev.Key)
+			v.handle(ev)
+		}
+		b.ReportMetric(float64(heap()-before)/flows, "B/flow")
+		runtime.KeepAlive(v)
+	}
+}
+
+// BenchmarkTable measures the table of a deployment at full size: its memory with the
+// directory, and the time from one changed entry to the new table in force.
+func BenchmarkTable(b *testing.B) {
+	const routes, servers = 16_000, 41_000
+	cfg := Config{Revision: 1}
+	for i := range routes {
+		address := netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)})
+		cfg.Routes = append(cfg.Routes, Route{
+			Name: fmt.Sprint("r-", i), Address: netip.AddrPortFrom(address, 443), Parts: []Part{{Service: fmt.Sprint("s-", i)}},
+		})
+	}
+	before := heap()
+	v := &vm{Engine: NewEngine("dc-1", Limits{}), now: time.Minute}
+	v.directory.SetConfig(cfg)
+	for n := range uint32(servers) {
+		s := server(n+1, fmt.Sprint("dc-", n%15))
+		s.Service = fmt.Sprint("s-", n%routes)
+		v.directory.Set(s)
+	}
+	v.refresh()
+	size := heap() - before
+	s := server(1, "dc-1")
+	for b.Loop() {
+		s.Born++
+		v.directory.Set(s)
+		v.refresh()
+	}
+	b.ReportMetric(float64(size)/(1<<20), "MB")
+}
