--- a/lhstand/platform.go
+++ b/lhstand/platform.go
@@ -106,7 +106,8 @@
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
-	if !p.admit(r) {
+	epoch, ok := p.admit(r)
+	if !ok {
 		http.Error(w, "too many calls", http.StatusTooManyRequests)
 		return
 	}
@@ -119,7 +120,7 @@
 	case kind == "keys" && rest == "":
 		p.serveList(w, r.URL.Query())
 	case kind == "keys" && r.Method == http.MethodGet:
-		p.serveRead(w, r, rest)
+		p.serveRead(w, r, rest, epoch)
 	case kind == "keys":
 		p.serveWrite(w, r, rest, body)
 	default:
--- a/lhstand/platform_fault.go
+++ b/lhstand/platform_fault.go
@@ -86,16 +86,18 @@
 }
 
 // admit counts a call, applies the faults that come before it is carried out and
-// reports whether the rate limit permits it. A call is dropped by the panic that
-// net/http knows for it. A slow write goes on when its caller has given up.
-func (p *Platform) admit(r *http.Request) bool {
+// reports whether the rate limit permits it, and the epoch that it was counted in: a
+// watch that has been counted is ended with those that wait. A call is dropped by the
+// panic that net/http knows for it. A slow write goes on when its caller has given up.
+func (p *Platform) admit(r *http.Request) (epoch uint64, ok bool) {
 	p.mu.Lock()
 	p.count(r)
+	epoch = p.epoch
 	delay := p.faults.delay
 	limited := p.overRate()
 	p.mu.Unlock()
 	if limited {
-		return false
+		return epoch, false
 	}
 	ctx := r.Context()
 	if r.Method != http.MethodGet {
@@ -108,7 +110,7 @@
 	if down {
 		panic(http.ErrAbortHandler)
 	}
-	return true
+	return epoch, true
 }
 
 func (p *Platform) overRate() bool {
--- a/lhstand/platform_key.go
+++ b/lhstand/platform_key.go
@@ -14,8 +14,8 @@
 	"github.com/laburnumhollow/laburnumhollow/lhstore"
 )
 
-func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, key string) {
-	value, found := p.await(r, key)
+func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, key string, epoch uint64) {
+	value, found := p.await(r, key, epoch)
 	if !found {
 		http.NotFound(w, r)
 		return
@@ -30,14 +30,17 @@
 
 // await returns the value of a key once it is not the one that the caller
 // knows, or when the wait that the call permits is over.
-func (p *Platform) await(r *http.Request, key string) (lhstore.Value, bool) {
+func (p *Platform) await(r *http.Request, key string, epoch uint64) (lhstore.Value, bool) {
 	limit, _ := time.ParseDuration(r.URL.Query().Get("wait"))
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
 	known := r.Header.Get("If-None-Match")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for epoch := p.epoch; ; {
+	for {
+		if limit > 0 && p.epoch != epoch {
+			panic(http.ErrAbortHandler)
+		}
 		value, found := p.keys[key]
 		if value.ETag != known || ctx.Err() != nil {
 			return value, found
@@ -49,9 +52,6 @@
 		case <-changed:
 		}
 		p.mu.Lock()
-		if p.epoch != epoch {
-			panic(http.ErrAbortHandler)
-		}
 	}
 }
 
--- a/lhstand/platform_test.go
+++ b/lhstand/platform_test.go
@@ -157,3 +157,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(vms), 1)
 }
+
+// TestCountedWatchIsEnded checks that ending watches reaches one that has been counted
+// and does not wait yet: whoever counts calls takes it for one that waits.
+func TestCountedWatchIsEnded(t *testing.T) {
+	p, c := startPlatform(t)
+	p.SetDelay(50 * time.Millisecond)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Watch(context.Background(), "a", "", time.Minute)
+		ended <- err
+	}()
+	for p.Counts().Watches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.EndWatches()
+	assert.Equal(t, lhcode.Of(<-ended), lhcode.StoreUnavailable)
+}
