lhflow: hand over one lifecycle of processes, and forget what was seen of a server's earlier run

Cause: Entry and Marked ran and ended their parts by the same lines; a server that starts again under its name kept the suspicion and the flows of its earlier run. Change: lifecycle in lhentry runs both; SetTable begins anew where a server was born anew. TestServerStartsAgain fails without it.

--- a/lhentry/entry.go
+++ b/lhentry/entry.go
@@ -227,26 +227,7 @@
 }
 
 func (e *Entry) run(ctx, kill context.Context) error {
-	life, end := context.WithCancel(kill)
-	defer end()
-	ended := make(chan error)
-	parts := e.start(life, ended)
-	var first error
-	select {
-	case <-ctx.Done():
-		e.stop(kill)
-	case <-kill.Done():
-	case first = <-ended:
-		parts--
-	}
-	end()
-	_ = e.socket.Close()
-	for ; parts > 0; parts-- {
-		if err := <-ended; first == nil {
-			first = err
-		}
-	}
-	return first
+	return lifecycle{start: e.start, stop: e.stop, close: func() { _ = e.socket.Close() }}.run(ctx, kill)
 }
 
 // start starts the goroutines of the process and returns their number; each sends
@@ -274,10 +255,7 @@
 	for _, w := range e.workers {
 		parts = append(parts, w.run)
 	}
-	for _, part := range parts {
-		go func() { ended <- part(ctx) }()
-	}
-	return len(parts)
+	return startParts(ctx, ended, parts...)
 }
 
 // holder returns the name under which this run of the process asks for leases.
--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -154,34 +154,18 @@
 }
 
 func (m *Marked) run(ctx, kill context.Context) error {
-	life, end := context.WithCancel(kill)
-	defer end()
-	ended := make(chan error)
-	parts := []func(context.Context) error{m.follow, m.forward, m.serveReady, m.serveOps, m.serveControl, m.register, m.tell, m.housekeep, m.reload}
-	for _, part := range parts {
-		go func() { ended <- part(life) }()
-	}
+	err := lifecycle{start: m.start, stop: m.stop, close: m.close}.run(ctx, kill)
+	m.log.Info().Err(err).Dur("ran", m.now()).Msg("stopped")
+	return err
+}
+
+// start starts the goroutines of the process.
+func (m *Marked) start(ctx context.Context, ended chan<- error) int {
+	s := m.settings.Load()
 	m.log.Info().Stringer("data", m.Data()).Stringer("ready", m.Ready()).Stringer("ops", m.Ops()).
-		Stringer("control", m.Control()).
-		Str("datacentre", m.settings.Load().DataCentre).Str("platform", m.settings.Load().Platform).Msg("started")
-	left := len(parts)
-	var first error
-	select {
-	case <-ctx.Done():
-		m.stop(kill)
-	case <-kill.Done():
-	case first = <-ended:
-		left--
-	}
-	end()
-	m.close()
-	for ; left > 0; left-- {
-		if err := <-ended; first == nil {
-			first = err
-		}
-	}
-	m.log.Info().Err(first).Dur("ran", m.now()).Msg("stopped")
-	return first
+		Stringer("control", m.Control()).Str("datacentre", s.DataCentre).Str("platform", s.Platform).Msg("started")
+	return startParts(ctx, ended,
+		m.follow, m.forward, m.serveReady, m.serveOps, m.serveControl, m.register, m.tell, m.housekeep, m.reload)
 }
 
 const (
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -73,10 +73,12 @@
 	return e
 }
 
-// SetTable puts a table into force.
+// SetTable puts a table into force. What was seen of an earlier run of a server is
+// forgotten.
 func (e *Engine) SetTable(now time.Duration, t *Table) {
+	before := e.table.Load()
 	for _, s := range t.numbers {
-		if _, known := e.gauges.Load(s.Number); !known {
+		if o, known := before.numbers[s.Number]; !known || o.Born != s.Born {
 			e.gauges.Store(s.Number, &gauge{warm: now + s.Warmup})
 		}
 	}
--- a/lhmark/engine_test.go
+++ b/lhmark/engine_test.go
@@ -217,6 +217,25 @@
 	assert.Equal(t, v.Table().Servers(), 1, "the younger gets no flows")
 }
 
+// TestServerStartsAgain checks that what was seen of a server does not count for its next
+// run under the same name.
+func TestServerStartsAgain(t *testing.T) {
+	v := newVM(t, server(1, "a"))
+	v.open(1)
+	v.ofNumber(1).silent(v.now)
+	again := server(1, "a")
+	again.Born, again.Warmup = 7, 2*time.Second
+	v.directory.Set(again)
+	v.refresh()
+	got := v.Server(v.now, 1)
+	assert.Assert(t, !got.Suspect)
+	assert.Equal(t, got.Held, 0)
+	assert.Equal(t, v.ofNumber(1).warm, v.now+2*time.Second)
+	v.directory.Set(server(2, "a"))
+	v.refresh()
+	assert.Equal(t, v.ofNumber(1).warm, v.now+2*time.Second, "kept while the run lasts")
+}
+
 func BenchmarkHandle(b *testing.B) {
 	v := &vm{Engine: NewEngine("a", Limits{}), now: time.Minute}
 	v.directory.SetConfig(Config{Revision: 1, Routes: []Route{{Address: service, Parts: []Part{{Service: "x"}}}}})
