lhflow: hand over no measure of flows without a record

Cause: read while landing: a packet of a flow for which there was no room counted a request in progress at its server that nothing ever took back. Change: only flows with a record are measured. TestBoundedRecords fails without it.

--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -244,12 +244,16 @@
 	}
 	d.Known = known
 	d.Route, _ = t.Route(ev.Key)
+	kept := known
 	if !known && d.Action == lhflow.ToServer && !ev.Flags.Has(lhflow.RST) && e.Len() < e.limits.Flows {
 		s.put(ev.Key, r)
 		e.size.Add(1)
 		e.gauge(server).add(1, 0)
+		kept = true
+	}
+	if kept {
+		e.measure(ev, r, &d)
 	}
-	e.measure(ev, r, &d)
 	if known && (ev.Flags.Has(lhflow.RST) || d.Action == lhflow.Reset) {
 		e.end(s, ev.Key, r)
 	}
--- a/lhmark/engine_test.go
+++ b/lhmark/engine_test.go
@@ -201,6 +201,11 @@
 		assert.Equal(t, v.request(port, d.Server, 0).Server, d.Server)
 	}
 	assert.Equal(t, v.Len(), 10)
+	v.now += defaultIdle + time.Second
+	v.Expire(v.now)
+	for n := uint32(1); n <= 2; n++ {
+		assert.Equal(t, v.Server(v.now, n).Busy, 0, "flows without a record are not measured")
+	}
 }
 
 // TestSharedNumber checks that of two servers with the same number the older keeps
