lhflow: hand over one wait for quiet and no state that nobody reads

Cause: read once more: Entry and Marked each waited for quiet by the same lines; a record counted repeats that nothing read; Table.Routes had no caller. Change: quiet serves both; the two are gone. Behaviour as before; no test touched.

--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -182,14 +182,8 @@
 	m.log.Info().Int("flows", m.engine.Len()).Msg("leaving")
 	ctx, cancel := context.WithTimeout(kill, m.settings.Load().Stop-stopMargin)
 	defer cancel()
-	begun := m.now()
-	last, since := m.counters.received.Load(), begun
-	await(ctx, func() bool {
-		if n := m.counters.received.Load(); n != last {
-			last, since = n, m.now()
-		}
-		return m.now()-begun >= turnAwayTime && m.now()-since >= quietTime
-	})
+	begun, silent := m.now(), quiet(m.counters.received.Load, m.now)
+	await(ctx, func() bool { return silent() && m.now()-begun >= turnAwayTime })
 }
 
 // follow follows the store until the context ends.
--- a/lhentry/stop.go
+++ b/lhentry/stop.go
@@ -53,13 +53,19 @@
 
 // awaitQuiet returns when no packet has come for quietTime, or when ctx ends.
 func (e *Entry) awaitQuiet(ctx context.Context) {
-	last, since := e.received(), e.now()
-	await(ctx, func() bool {
-		if n := e.received(); n != last {
-			last, since = n, e.now()
+	await(ctx, quiet(e.received, e.now))
+}
+
+// quiet returns a condition that holds once the number of packets received has stayed
+// the same for quietTime.
+func quiet(received func() uint64, now func() time.Duration) func() bool {
+	last, since := received(), now()
+	return func() bool {
+		if n := received(); n != last {
+			last, since = n, now()
 		}
-		return e.now()-since >= quietTime
-	})
+		return now()-since >= quietTime
+	}
 }
 
 func (e *Entry) received() uint64 {
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -285,17 +285,10 @@
 		d.Served, d.After = true, ev.Now-r.sent
 		e.idle(g, r)
 	}
-	end := ev.Seq + uint32(ev.Data)
-	switch {
-	case ev.Data == 0:
-	case int32(end-r.end) <= 0:
-		if r.busy && ev.Now-r.sent >= repeatAfter && r.repeats < 255 {
-			r.repeats++
-		}
-	default:
+	if end := ev.Seq + uint32(ev.Data); ev.Data > 0 && int32(end-r.end) > 0 {
 		r.end = end
 		if !r.busy {
-			r.busy, r.sent, r.ack, r.repeats = true, ev.Now, ev.Ack, 0
+			r.busy, r.sent, r.ack = true, ev.Now, ev.Ack
 			g.add(0, 1)
 		}
 	}
--- a/lhmark/record.go
+++ b/lhmark/record.go
@@ -54,8 +54,6 @@
 	end, ack uint32
 	// busy is set while a SYN or request is not answered.
 	busy bool
-	// repeats counts how often a part of the request in progress was sent again.
-	repeats uint8
 }
 
 // expired reports whether nothing more is expected of the flow.
--- a/lhmark/table.go
+++ b/lhmark/table.go
@@ -68,9 +68,6 @@
 // Revision returns the revision of the configuration; 0 when there is none.
 func (t *Table) Revision() uint64 { return t.cfg.Revision }
 
-// Routes returns how many routes the configuration has.
-func (t *Table) Routes() int { return len(t.cfg.Routes) }
-
 // Servers returns how many servers take new flows.
 func (t *Table) Servers() int {
 	sum := 0
