lhflow: hand over tests that know when a process has ended and share no ports

TestRollingReplacement beside load: a process told its end by a value in a channel and then closed it; running() between the two steps took the ended VM for a running one, and the test asked it for its state until patience ended (connection refused, as it was seen). running() could also take the value that awaitEnd waits for. Ruled out: the product; the logs of all seven failed starts say 'address already in use', and the processes of the rolling replacement had ended as planned. The end is one step (close), the error a field read after it. Each soak process has loopback hosts of its own, the ports of a VM are held until all are chosen, and the logs are kept when a condition is not met.

--- a/cmd/laburnumhollow/fleet_test.go
+++ b/cmd/laburnumhollow/fleet_test.go
@@ -77,8 +77,10 @@
 	control string
 	ops     string
 	// ca is the authority of a VM that serves operators by HTTPS; empty for HTTP.
-	ca    string
-	ended chan error
+	ca string
+	// err is how the process ended; it is read once ended is closed.
+	err   error
+	ended chan struct{}
 	log   *logBuffer
 }
 
@@ -151,7 +153,7 @@
 func (f *fleet) startVM(dc string) *process {
 	f.t.Helper()
 	n := len(f.vms) + 1
-	p := &process{name: fmt.Sprintf("%s-%d", dc, n), dc: dc, ended: make(chan error, 1), log: &logBuffer{}}
+	p := &process{name: fmt.Sprintf("%s-%d", dc, n), dc: dc, ended: make(chan struct{}), log: &logBuffer{}}
 	contact := ""
 	for _, vm := range f.running() {
 		contact = "[peers]\ncontact = " + vm.control + "\n"
@@ -211,11 +213,16 @@
 	f.t.Cleanup(func() { _ = p.command.Process.Kill() })
 	go func() {
 		p.read(stderr, listening)
-		p.ended <- p.command.Wait()
-		close(p.ended)
+		p.end(p.command.Wait())
 	}()
 }
 
+// end tells that the process has ended, and how.
+func (p *process) end(err error) {
+	p.err = err
+	close(p.ended)
+}
+
 // launchHere starts a VM in the test's process, on a network that can be cut.
 func (f *fleet) launchHere(p *process, path string, listening chan<- struct{}) {
 	settings, err := lhconf.ReadSettings(path)
@@ -238,7 +245,7 @@
 func (p *process) read(r io.Reader, listening chan<- struct{}) {
 	lines := bufio.NewScanner(r)
 	for lines.Scan() {
-		p.log.add(lines.Bytes())
+		_, _ = p.log.Write([]byte(lines.Text() + "\n"))
 		var line struct{ Message, Data, Control, Ops string }
 		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Message != "listening" {
 			continue
@@ -250,10 +257,12 @@
 	}
 }
 
-func (b *logBuffer) add(line []byte) {
+// Write adds to the log; it never fails.
+func (b *logBuffer) Write(text []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.text = append(append(b.text, line...), '\n')
+	b.text = append(b.text, text...)
+	return len(text), nil
 }
 
 // String returns the log so far.
@@ -370,14 +379,27 @@
 func (f *fleet) awaitEnd(p *process) error {
 	f.t.Helper()
 	select {
-	case err := <-p.ended:
-		return err
+	case <-p.ended:
+		return p.err
 	case <-time.After(patience):
 		f.t.Fatalf("%s does not end", p.name)
 	}
 	return nil
 }
 
+// TestEndedIsNotRunning asks for the running VMs the moment after one has ended, from
+// many goroutines, so that some of them come between any two steps of its end.
+func TestEndedIsNotRunning(t *testing.T) {
+	const rounds = 20_000
+	for range rounds {
+		p := &process{name: "ebetsu-1", ended: make(chan struct{})}
+		f := &fleet{t: t, vms: []*process{p}}
+		go p.end(io.EOF)
+		assert.Equal(t, f.awaitEnd(p), io.EOF)
+		assert.Equal(t, len(f.running()), 0)
+	}
+}
+
 // open opens a connection from a new caller.
 func (f *fleet) open(service string) (*lhstand.Conn, error) {
 	f.callers++
--- a/cmd/laburnumhollow/soak_test.go
+++ b/cmd/laburnumhollow/soak_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -38,12 +37,19 @@
 // regressionSeeds have failed once, or stand for the short run in CI:
 //
 //	1: the short run.
+//
+// Seed 234 failed for ports that two soaks or two listeners of a VM were both given,
+// whatever the seed; TestFreePorts stands for it.
 var regressionSeeds = []uint64{1}
 
 const (
 	soakVMs     = 4
 	soakServers = 5
 	soakCallers = 6
+	// firstCaller is the last byte of the first caller's address, behind those of VMs.
+	firstCaller = 100
+	// soakPort is the port of all VMs and callers, each at an address of its own.
+	soakPort = 4096
 	// soakPatience bounds a request: many times what the longest disturbance lasts.
 	soakPatience = 20 * time.Second
 	// undisturbed is how long after a disturbance of its server a flow may break.
@@ -72,7 +78,6 @@
 	dir     string
 	store   *lhplatformstand.Store
 	vms     []*soakVM
-	port    uint16
 	callers []*lhplatformstand.Caller
 	version int
 
@@ -88,7 +93,7 @@
 	name, settings, ready, ops string
 	data                       netip.AddrPort
 	proxy                      *lhplatformstand.Proxy
-	log                        *bytes.Buffer
+	log                        *logBuffer
 	command                    *exec.Cmd
 	ended                      chan struct{}
 	// down is set while the process is stopped or paused on purpose.
@@ -107,7 +112,6 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, 0)), dir: t.TempDir(), store: lhplatformstand.NewStore()}
 	t.Cleanup(s.store.Close)
-	s.port = freePort(t)
 	s.configure()
 	for range soakServers {
 		s.addServer()
@@ -116,7 +120,7 @@
 		s.addVM(i)
 	}
 	for i := range soakCallers {
-		c, err := lhplatformstand.NewCaller(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 6, byte(i + 1)}), s.port))
+		c, err := lhplatformstand.NewCaller(netip.AddrPortFrom(soakHost(firstCaller+i), soakPort))
 		assert.NilError(t, err)
 		t.Cleanup(c.Close)
 		s.callers = append(s.callers, c)
@@ -124,13 +128,32 @@
 	return s
 }
 
-// freePort returns a port that was free on the loopback address.
-func freePort(t *testing.T) uint16 {
+// soakHost returns one of the loopback addresses that only this process uses, so that
+// soaks at the same time don't take each other's ports.
+func soakHost(n int) netip.Addr {
+	pid := os.Getpid()
+	return netip.AddrFrom4([4]byte{127, byte(128 | pid>>8), byte(pid), byte(n)})
+}
+
+// freePorts returns different TCP ports that are free at a host.
+func freePorts(t *testing.T, host netip.Addr, n int) []netip.AddrPort {
 	t.Helper()
-	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	assert.NilError(t, err)
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	var list []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
+		assert.NilError(t, err)
+		// A port that is closed before the next one is chosen may be chosen again.
+		defer l.Close()
+		list = append(list, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return list
+}
+
+func TestFreePorts(t *testing.T) {
+	for range 5000 {
+		list := freePorts(t, soakHost(1), 3)
+		assert.Assert(t, list[0] != list[1] && list[0] != list[2] && list[1] != list[2], "%v", list)
+	}
 }
 
 func (s *soak) configure() {
@@ -140,7 +163,7 @@
 
 func (s *soak) addServer() {
 	n := uint32(len(s.servers) + 1)
-	server, err := lhplatformstand.NewServer(n, "orders", fmt.Sprintf("dc-%d", n%2), s.port)
+	server, err := lhplatformstand.NewServer(n, "orders", fmt.Sprintf("dc-%d", n%2), soakPort)
 	assert.NilError(s.t, err)
 	s.t.Cleanup(server.Close)
 	server.Register(s.store, "ready", 1)
@@ -153,14 +176,14 @@
 	proxy, err := lhplatformstand.NewProxy(strings.TrimPrefix(s.store.URL(), "http://"))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(proxy.Close)
-	host := fmt.Sprintf("127.0.5.%d", i+1)
-	v := &soakVM{name: fmt.Sprintf("vm-%d", i), proxy: proxy, log: &bytes.Buffer{}}
-	v.data = netip.AddrPortFrom(netip.MustParseAddr(host), s.port)
-	v.ready, v.ops = net.JoinHostPort(host, fmt.Sprint(freePort(s.t))), net.JoinHostPort(host, fmt.Sprint(freePort(s.t)))
-	control := net.JoinHostPort(host, fmt.Sprint(freePort(s.t)))
+	host := soakHost(1 + i)
+	ports := freePorts(s.t, host, 3)
+	v := &soakVM{name: fmt.Sprintf("vm-%d", i), proxy: proxy, log: &logBuffer{}}
+	v.data = netip.AddrPortFrom(host, soakPort)
+	v.ready, v.ops = ports[0].String(), ports[1].String()
 	v.settings = filepath.Join(s.dir, v.name+".ini")
 	text := fmt.Sprintf("[vm]\nname = %s\ndatacentre = dc-%d\n[listen]\ndata = %s\nready = %s\ncontrol = %s\nops = %s\n[platform]\nurl = %s\n",
-		v.name, i%2, v.data, v.ready, control, v.ops, proxy.URL())
+		v.name, i%2, v.data, v.ready, ports[2], v.ops, proxy.URL())
 	assert.NilError(s.t, os.WriteFile(v.settings, []byte(text), 0o600))
 	s.vms = append(s.vms, v)
 	s.launch(v)
@@ -542,19 +565,24 @@
 	dir, err := os.MkdirTemp("", "soak-")
 	assert.NilError(s.t, err)
 	for _, v := range s.vms {
-		assert.NilError(s.t, os.WriteFile(filepath.Join(dir, v.name+".log"), v.log.Bytes(), 0o600))
+		assert.NilError(s.t, os.WriteFile(filepath.Join(dir, v.name+".log"), []byte(v.log.String()), 0o600))
 	}
 	s.t.Logf("logs in %s", dir)
 }
 
 func (s *soak) await(what string, condition func() bool) {
 	s.t.Helper()
+	begun := time.Now()
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		if condition() {
 			return poll.Success()
 		}
+		if time.Since(begun) > patience {
+			s.keepLogs()
+			return poll.Error(fmt.Errorf("not in %v: %s; steps: %v", patience, what, s.steps))
+		}
 		return poll.Continue("%s; steps: %v", what, s.steps)
-	}, poll.WithTimeout(patience), poll.WithDelay(20*time.Millisecond))
+	}, poll.WithTimeout(2*patience), poll.WithDelay(20*time.Millisecond))
 }
 
 // pause waits for a time or for the end of ctx.
