lhflow: hand over VMs that start while the store is away

A VM that starts gets configuration and servers from the store alone. While the store is away it is not ready, so a rolling replacement within an outage takes the whole system out, one VM after the other. Asking other VMs at each start, which would begin with old knowledge while the store is there; being found by others, which know only VMs with entries. A VM without a listing after 250 ms asks up to three contacts of its settings for all they know (State of SpreadService) and takes the newest, with its age. The state is made anew from what was decoded, so that no VM keeps raw entries. The directory takes knowledge that is older than the process. Start with the newest of several contacts, none that knows, random changes, a store that never answers, three VMs replaced in turn behind a store that hangs; the soak's VMs have contacts as well.

--- a/cmd/laburnumhollow/soak_test.go
+++ b/cmd/laburnumhollow/soak_test.go
@@ -116,8 +116,14 @@
 	for range soakServers {
 		s.addServer()
 	}
-	for i := range soakVMs {
-		s.addVM(i)
+	var ports [soakVMs][]netip.AddrPort
+	var contacts []string
+	for i := range ports {
+		ports[i] = freePorts(t, soakHost(1+i), 3)
+		contacts = append(contacts, ports[i][2].String())
+	}
+	for i := range ports {
+		s.addVM(i, ports[i], strings.Join(contacts, ","))
 	}
 	for i := range soakCallers {
 		c, err := lhplatformstand.NewCaller(netip.AddrPortFrom(soakHost(firstCaller+i), soakPort))
@@ -172,18 +178,16 @@
 	s.servers = append(s.servers, &soakServer{Server: server, number: n})
 }
 
-func (s *soak) addVM(i int) {
+func (s *soak) addVM(i int, ports []netip.AddrPort, contacts string) {
 	proxy, err := lhplatformstand.NewProxy(strings.TrimPrefix(s.store.URL(), "http://"))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(proxy.Close)
-	host := soakHost(1 + i)
-	ports := freePorts(s.t, host, 3)
 	v := &soakVM{name: fmt.Sprintf("vm-%d", i), proxy: proxy, log: &logBuffer{}}
-	v.data = netip.AddrPortFrom(host, soakPort)
+	v.data = netip.AddrPortFrom(soakHost(1+i), soakPort)
 	v.ready, v.ops = ports[0].String(), ports[1].String()
 	v.settings = filepath.Join(s.dir, v.name+".ini")
-	text := fmt.Sprintf("[vm]\nname = %s\ndatacentre = dc-%d\n[listen]\ndata = %s\nready = %s\ncontrol = %s\nops = %s\n[platform]\nurl = %s\n",
-		v.name, i%2, v.data, v.ready, ports[2], v.ops, proxy.URL())
+	text := fmt.Sprintf("[vm]\nname = %s\ndatacentre = dc-%d\n[listen]\ndata = %s\nready = %s\ncontrol = %s\nops = %s\n[peers]\ncontact = %s\n[platform]\nurl = %s\n",
+		v.name, i%2, v.data, v.ready, ports[2], v.ops, contacts, proxy.URL())
 	assert.NilError(s.t, os.WriteFile(v.settings, []byte(text), 0o600))
 	s.vms = append(s.vms, v)
 	s.launch(v)
--- a/lhconf/marked.go
+++ b/lhconf/marked.go
@@ -24,6 +24,9 @@
 	Ready   netip.AddrPort
 	Control netip.AddrPort
 	Ops     netip.AddrPort
+	// Contacts lists control addresses of other VMs, some of which may be gone. They are
+	// asked when the platform's service does not answer at the start.
+	Contacts []netip.AddrPort
 	// Platform is the URL of the platform's key-value service.
 	Platform string
 	// Flows is how many flows the VM keeps records of at most.
@@ -86,6 +89,9 @@
 		endpointField("control", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Control }).must(),
 		endpointField("ops", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Ops }).must(),
 	}},
+	{"peers", []field[MarkedSettings]{
+		endpointsField("contact", func(s *MarkedSettings) *[]netip.AddrPort { return &s.Contacts }),
+	}},
 	{"platform", []field[MarkedSettings]{
 		urlField("url", func(s *MarkedSettings) *string { return &s.Platform }).must(),
 	}},
--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -34,6 +34,8 @@
 	ServerName(key string) (string, bool)
 	// DecodeServer reads the entry of a backend server.
 	DecodeServer(name string, data []byte) (lhmark.Server, error)
+	// EncodeServer returns an entry that is decoded to the same server.
+	EncodeServer(s lhmark.Server) ([]byte, error)
 	// MemberKey returns the key of a VM's entry, and MemberName the name of the VM
 	// that a key belongs to.
 	MemberKey(name string) string
@@ -43,6 +45,8 @@
 	// DecodeConfig reads the configuration. With an error it is valid for all but
 	// what the error names, unless its revision is 0.
 	DecodeConfig(data []byte) (lhmark.Config, error)
+	// EncodeConfig returns a text that is decoded to the same configuration.
+	EncodeConfig(cfg lhmark.Config) ([]byte, error)
 }
 
 // Store is the platform's key-value service.
@@ -76,6 +80,7 @@
 	control  net.Listener
 	engine   *lhmark.Engine
 	spread   *lhspread.Node
+	mirror   *lhstore.Mirror
 	// mu guards directory and members.
 	mu        sync.Mutex
 	directory lhmark.Directory
@@ -99,10 +104,12 @@
 		started:  time.Now(),
 		informed: make(chan struct{}),
 		engine:   lhmark.NewEngine(s.DataCentre, lhmark.Limits{Flows: s.Flows}),
-		spread:   lhspread.NewNode(s.Name, log),
 		members:  make(map[string]lhspread.Member),
 	}
 	m.settings.Store(&s)
+	m.mirror = &lhstore.Mirror{Feed: o.Store, Consumer: (*markedStore)(m), Log: log}
+	m.spread = lhspread.NewNode(s.Name, s.Contacts, m.mirror.State, log)
+	m.mirror.Spread = m.spread
 	var err error
 	if m.socket, err = lhsock.Open(s.Data, 1); err != nil {
 		return nil, err
@@ -187,14 +194,7 @@
 }
 
 // follow follows the store until the context ends.
-func (m *Marked) follow(ctx context.Context) error {
-	return <-lhstore.Mirror{
-		Feed:     m.outside.Store,
-		Spread:   m.spread,
-		Consumer: (*markedStore)(m),
-		Log:      m.log,
-	}.Run(ctx)
-}
+func (m *Marked) follow(ctx context.Context) error { return <-m.mirror.Run(ctx) }
 
 // register keeps the VM's entry in the store until the context ends.
 func (m *Marked) register(ctx context.Context) error {
--- a/lhentry/marked_reload.go
+++ b/lhentry/marked_reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
@@ -54,16 +55,16 @@
 // takeSettings puts into force what can change while the process runs.
 func (m *Marked) takeSettings(s lhconf.MarkedSettings, asked bool) {
 	before := *m.settings.Load()
-	if s == before {
+	if reflect.DeepEqual(s, before) {
 		if asked {
 			m.log.Info().Msg("settings read again; nothing has changed")
 		}
 		return
 	}
 	next := before
-	next.Lines, next.Stop = s.Lines, s.Stop
+	next.Lines, next.Stop, next.Contacts = s.Lines, s.Stop, s.Contacts
 	m.settings.Store(&next)
 	m.lines.limit(s.Lines)
 	m.log.Info().Int("lines", s.Lines).Dur("stop", s.Stop).
-		Bool("restart", s != next).Msg("settings changed")
+		Bool("restart", !reflect.DeepEqual(s, next)).Msg("settings changed")
 }
--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -38,6 +38,41 @@
 	return told
 }
 
+// Data implements lhstore.Consumer. The data is made anew from what it was decoded to.
+func (s *markedStore) Data(key string) ([]byte, bool) {
+	m := (*Marked)(s)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, err := m.encode(key)
+	if err != nil {
+		m.log.Error().Err(err).Str("key", key).Msg("item can't be encoded")
+	}
+	return data, data != nil
+}
+
+// encode returns the data of a key, or nil. The lock is held.
+func (m *Marked) encode(key string) ([]byte, error) {
+	codec := m.outside.Codec
+	if codec.IsConfig(key) {
+		return codec.EncodeConfig(m.directory.Config())
+	}
+	if name, ok := codec.MemberName(key); ok {
+		if member, ok := m.members[name]; ok {
+			return json.Marshal(member)
+		}
+		return nil, nil
+	}
+	name, ok := codec.ServerName(key)
+	if !ok {
+		return nil, nil
+	}
+	server, ok := m.directory.Server(name)
+	if !ok {
+		return nil, nil
+	}
+	return codec.EncodeServer(server)
+}
+
 // Refreshed implements lhstore.Consumer.
 func (s *markedStore) Refreshed(revision uint64, age time.Duration) {
 	m := (*Marked)(s)
--- a/lhentry/marked_test.go
+++ b/lhentry/marked_test.go
@@ -130,6 +130,9 @@
 	if len(f.vms) > 0 {
 		s.Data = netip.AddrPortFrom(address, f.vms[0].Data().Port())
 	}
+	for _, v := range f.vms {
+		s.Contacts = append(s.Contacts, v.Control())
+	}
 	s.Ready, s.Ops, s.Control = netip.AddrPortFrom(address, 0), netip.AddrPortFrom(address, 0), netip.AddrPortFrom(address, 0)
 	v := &markedVM{log: &logBuffer{}, reread: make(chan os.Signal, 1), settings: s}
 	outside := lhentry.Outside{
@@ -386,3 +389,29 @@
 	assert.NilError(t, <-v.ended)
 	assert.Equal(t, f.store.Members(), 0, "the entry is gone with the VM")
 }
+
+// TestMarkedStartsWhileStoreAway replaces all VMs in turn while the store does not
+// answer. Flows go on, new ones are opened, and a configuration written afterwards is
+// in force everywhere.
+func TestMarkedStartsWhileStoreAway(t *testing.T) {
+	f := newMarkedFleet(t, 3, 4)
+	flow := f.open()
+	f.request(flow)
+	f.store.Fail(lhplatformstand.Hangs)
+	for i := range f.vms {
+		f.vms[i].kill()
+		<-f.vms[i].ended
+		v := f.startVM(i)
+		f.await("the VM is ready", func() bool { return v.Health().Ready() })
+		assert.Equal(t, len(v.log.lines("state of another VM taken")), 1)
+		f.route()
+		f.request(flow)
+		f.request(f.open())
+	}
+	f.store.Fail(lhplatformstand.Works)
+	f.configure(2, markedService)
+	f.await("the configuration is in force", func() bool {
+		return !slices.ContainsFunc(f.vms, func(v *markedVM) bool { return v.Dump().Revision != 2 })
+	})
+	f.request(flow)
+}
--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -20,9 +20,12 @@
 	cfg Config
 	// servers holds all servers that are or were listed, by name.
 	servers map[string]*listed
-	// asOf is when all that the store held was known, and back when it was reached again
-	// after an outage; 0 for never.
-	asOf, back time.Duration
+	// known is set once the store has been known, which was last so at asOf. That is
+	// negative where a VM has begun with what another knew.
+	known bool
+	asOf  time.Duration
+	// back is when the store was reached again after an outage; 0 for never.
+	back time.Duration
 	// changed is set when the table in force is out of date.
 	changed bool
 	table   *Table
@@ -81,15 +84,31 @@
 // Refresh says that all that the store held some time ago is known, or will be with
 // the changes that follow.
 func (d *Directory) Refresh(now, age time.Duration) {
-	if d.asOf > 0 && now-d.asOf > outageTime {
+	if !d.known {
+		d.known, d.asOf = true, now-age
+		return
+	}
+	if now-d.asOf > outageTime {
 		d.back = now
 	}
-	d.asOf = max(d.asOf, now-age, 1)
+	d.asOf = max(d.asOf, now-age)
 }
 
 // Current reports whether what the store does not list does not exist.
 func (d *Directory) Current(now time.Duration) bool {
-	return d.asOf > 0 && now-d.asOf <= outageTime
+	return d.known && now-d.asOf <= outageTime
+}
+
+// Config returns the configuration in force.
+func (d *Directory) Config() Config { return d.cfg }
+
+// Server returns a server that the store lists.
+func (d *Directory) Server(name string) (Server, bool) {
+	l := d.servers[name]
+	if l == nil || l.missing {
+		return Server{}, false
+	}
+	return *l.server, true
 }
 
 // Table returns what is known now. It returns the same table until that changes.
--- a/lhmark/directory_test.go
+++ b/lhmark/directory_test.go
@@ -102,3 +102,22 @@
 	v.refresh()
 	assert.Equal(t, v.directory.Table(v.now), before)
 }
+
+// TestBeginWithOldKnowledge checks that a VM which begins with what another knew some
+// time ago does not take it for all that there is, and gives entries the time to come
+// back once it reaches the store.
+func TestBeginWithOldKnowledge(t *testing.T) {
+	var d Directory
+	d.Refresh(100*time.Millisecond, 10*time.Second)
+	s := server(1, "a")
+	d.Set(s)
+	assert.Assert(t, !d.Current(100*time.Millisecond))
+	now := 200 * time.Millisecond
+	d.Refresh(now, 0)
+	assert.Assert(t, d.Current(now))
+	assert.Assert(t, d.Remove(now, s.Name))
+	assert.Equal(t, d.Table(now).Gone(s.Number), false)
+	now += restoreTime
+	d.Refresh(now, 0)
+	assert.Equal(t, d.Table(now).Gone(s.Number), true)
+}
--- a/lhspread/lhspreadv1/spread.connect.go
+++ b/lhspread/lhspreadv1/spread.connect.go
@@ -35,6 +35,8 @@
 const (
 	// SpreadServiceTellProcedure is the fully-qualified name of the SpreadService's Tell RPC.
 	SpreadServiceTellProcedure = "/lhspread.v1.SpreadService/Tell"
+	// SpreadServiceStateProcedure is the fully-qualified name of the SpreadService's State RPC.
+	SpreadServiceStateProcedure = "/lhspread.v1.SpreadService/State"
 )
 
 // SpreadServiceClient is a client for the lhspread.v1.SpreadService service.
@@ -42,6 +44,9 @@
 	// Tell brings the changes of the store between two of its revisions. The callee
 	// passes them on to the VMs that follow it in its data centre.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
+	// State returns all that the callee knows of the store. A VM asks when it starts and
+	// the store does not answer.
+	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
 }
 
 // NewSpreadServiceClient constructs a client for the lhspread.v1.SpreadService service. By default,
@@ -61,12 +66,19 @@
 			connect.WithSchema(spreadServiceMethods.ByName("Tell")),
 			connect.WithClientOptions(opts...),
 		),
+		state: connect.NewClient[StateRequest, StateResponse](
+			httpClient,
+			baseURL+SpreadServiceStateProcedure,
+			connect.WithSchema(spreadServiceMethods.ByName("State")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // spreadServiceClient implements SpreadServiceClient.
 type spreadServiceClient struct {
-	tell *connect.Client[TellRequest, TellResponse]
+	tell  *connect.Client[TellRequest, TellResponse]
+	state *connect.Client[StateRequest, StateResponse]
 }
 
 // Tell calls lhspread.v1.SpreadService.Tell.
@@ -74,11 +86,19 @@
 	return c.tell.CallUnary(ctx, req)
 }
 
+// State calls lhspread.v1.SpreadService.State.
+func (c *spreadServiceClient) State(ctx context.Context, req *connect.Request[StateRequest]) (*connect.Response[StateResponse], error) {
+	return c.state.CallUnary(ctx, req)
+}
+
 // SpreadServiceHandler is an implementation of the lhspread.v1.SpreadService service.
 type SpreadServiceHandler interface {
 	// Tell brings the changes of the store between two of its revisions. The callee
 	// passes them on to the VMs that follow it in its data centre.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
+	// State returns all that the callee knows of the store. A VM asks when it starts and
+	// the store does not answer.
+	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
 }
 
 // NewSpreadServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +114,18 @@
 		connect.WithSchema(spreadServiceMethods.ByName("Tell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	spreadServiceStateHandler := connect.NewUnaryHandler(
+		SpreadServiceStateProcedure,
+		svc.State,
+		connect.WithSchema(spreadServiceMethods.ByName("State")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lhspread.v1.SpreadService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SpreadServiceTellProcedure:
 			spreadServiceTellHandler.ServeHTTP(w, r)
+		case SpreadServiceStateProcedure:
+			spreadServiceStateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +138,7 @@
 func (UnimplementedSpreadServiceHandler) Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lhspread.v1.SpreadService.Tell is not implemented"))
 }
+
+func (UnimplementedSpreadServiceHandler) State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lhspread.v1.SpreadService.State is not implemented"))
+}
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,11 @@
 	order atomic.Pointer[Order]
 	http  *http.Client
 	log   zerolog.Logger
+	// contacts are addresses of VMs that may know something, and state returns all that
+	// this one knows.
+	contacts []netip.AddrPort
+	state    func() lhstore.News
+	giving   sync.Mutex
 	// away holds until when a VM is passed over that could not be reached, by name.
 	away sync.Map
 	// heard holds what others have told, told what is to be passed on.
@@ -61,8 +67,9 @@
 	to     []position
 }
 
-// NewNode returns the Node of a VM, which knows no others yet.
-func NewNode(self string, log zerolog.Logger) *Node {
+// NewNode returns the Node of a VM, which knows no others yet but for addresses that
+// are asked for all they know. It gives others what state returns.
+func NewNode(self string, contacts []netip.AddrPort, state func() lhstore.News, log zerolog.Logger) *Node {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	n := &Node{
@@ -74,9 +81,11 @@
 			MaxIdleConnsPerHost: 1,
 			DisableCompression:  true,
 		}},
-		log:   log,
-		heard: make(chan lhstore.News, waiting),
-		told:  make(chan delivery, waiting),
+		log:      log,
+		contacts: contacts,
+		state:    state,
+		heard:    make(chan lhstore.News, waiting),
+		told:     make(chan delivery, waiting),
 	}
 	n.order.Store(NewOrder(self, nil))
 	return n
--- a/lhspread/node_test.go
+++ b/lhspread/node_test.go
@@ -24,7 +24,13 @@
 
 func start(t *testing.T, name, dataCentre string) *running {
 	t.Helper()
-	n := NewNode(name, zerolog.Nop())
+	return startWith(t, name, dataCentre, nil, nil)
+}
+
+// startWith starts a Node that may ask contacts and gives others what state returns.
+func startWith(t *testing.T, name, dataCentre string, contacts []netip.AddrPort, state func() lhstore.News) *running {
+	t.Helper()
+	n := NewNode(name, contacts, state, zerolog.Nop())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	r := &running{Node: n, server: &http.Server{Handler: n.Handler()}}
@@ -75,7 +81,7 @@
 
 // TestNodeDropsWhatFindsNoRoom checks that a VM whose news are not taken goes on.
 func TestNodeDropsWhatFindsNoRoom(t *testing.T) {
-	n := NewNode("a", zerolog.Nop())
+	n := NewNode("a", nil, nil, zerolog.Nop())
 	n.SetMembers([]Member{{Name: "b", DataCentre: "d", Control: netip.MustParseAddrPort("127.0.0.1:1")}, {Name: "a"}})
 	for range waiting + 5 {
 		n.Tell(lhstore.News{})
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -29,7 +29,8 @@
 	More bool
 }
 
-// News is what changed in a store between two revisions, as far as it matters.
+// News is what changed in a store between two revisions, as far as it matters; after
+// revision 0 that is all it holds.
 type News struct {
 	After, Revision uint64
 	// Age is the time since the store was read.
@@ -72,6 +73,9 @@
 	// Reached says whether the last call to the store was answered, each time that
 	// changes.
 	Reached(ok bool, cause error)
+	// Data returns the data of a key, or what stands for it, as far as it matters. It
+	// may be called from any goroutine.
+	Data(key string) ([]byte, bool)
 	// Refreshed says that everything up to a revision, which the store had some time
 	// ago, is known with the items that Changed gets next.
 	Refreshed(revision uint64, age time.Duration)
@@ -85,6 +89,8 @@
 	Tell(News)
 	// Heard gives what others have read.
 	Heard() <-chan News
+	// State returns all that some other VM knows.
+	State(ctx context.Context) (News, error)
 }
 
 const (
@@ -97,9 +103,10 @@
 	retryFactor = 1.5
 	// retryStart bounds the pause of a VM that has read nothing yet and so serves nobody.
 	retryStart = 200 * time.Millisecond
-	// deletedLife is how long the revision of a removed key is kept, so that older
-	// news can't bring it back.
-	deletedLife = time.Minute
+	// startTimeout bounds the first listing, and others until one succeeds twice as
+	// much each: the store answers in a few milliseconds, and a VM that knows nothing can
+	// as well ask another one.
+	startTimeout = 250 * time.Millisecond
 )
 
 // Mirror follows a store: it lists it once and then watches for changes, or hears of
@@ -114,10 +121,25 @@
 	// Consumer takes what is learned.
 	Consumer Consumer
 	Log      zerolog.Logger
+	known    known
+}
+
+// State returns all that is known of the store; its revision is 0 for nothing.
+func (m *Mirror) State() News {
+	n := m.known.present(time.Now())
+	there := n.Items[:0]
+	for _, it := range n.Items {
+		var ok bool
+		if it.Data, ok = m.Consumer.Data(it.Key); ok {
+			there = append(there, it)
+		}
+	}
+	n.Items = there
+	return n
 }
 
 // Run follows the store until ctx ends; the channel then gives nil.
-func (m Mirror) Run(ctx context.Context) <-chan error {
+func (m *Mirror) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		f := newMirroring(m)
@@ -131,13 +153,9 @@
 
 // mirroring is the state of a running Mirror.
 type mirroring struct {
-	Mirror
-	// keys holds the revision of the last change of each key.
-	keys map[string]keyState
+	*Mirror
 	// listed is set while all that was listed is still followed.
 	listed bool
-	// after is the revision up to which all changes are known.
-	after uint64
 	// due is when the store is read next, and missed is set where that is because news
 	// were missed: the others know by then what is read.
 	due    time.Time
@@ -145,18 +163,13 @@
 	// unreached is set while the store does not answer; started is not until a call
 	// has been made.
 	started, unreached bool
-	// pause is how long to wait after the next failure.
-	pause time.Duration
+	// pause is how long to wait after the next failure, and patience how long for an
+	// answer while nothing is known.
+	pause, patience time.Duration
 }
 
-// keyState is the last change of a key; ended is set to the time of its removal.
-type keyState struct {
-	revision uint64
-	ended    time.Time
-}
-
-func newMirroring(m Mirror) *mirroring {
-	return &mirroring{Mirror: m, keys: make(map[string]keyState), pause: retryFirst}
+func newMirroring(m *Mirror) *mirroring {
+	return &mirroring{Mirror: m, pause: retryFirst, patience: startTimeout}
 }
 
 // turn waits until the store is to be read, or for news.
@@ -169,27 +182,43 @@
 		f.hear(n)
 	case <-t.C:
 		f.read(ctx)
+		if f.known.after == 0 {
+			f.ask(ctx)
+		}
 	}
 }
 
+// ask begins with what another VM knows.
+func (f *mirroring) ask(ctx context.Context) {
+	n, err := f.Spread.State(ctx)
+	if err != nil {
+		f.Log.Debug().Err(err).Msg("no other VM knows the store")
+		return
+	}
+	f.Log.Info().Uint64("at", n.Revision).Dur("age", n.Age).Int("items", len(n.Items)).Msg("state of another VM taken")
+	f.listed = true
+	f.advance(n.Revision, n.Age)
+	f.apply(n.Items)
+}
+
 // hear takes news of another VM. What begins behind the revision that is known here
 // has a gap before it, and the store is read at once.
 func (f *mirroring) hear(n News) {
 	if !f.listed {
 		return
 	}
-	if n.After > f.after {
-		f.Log.Debug().Uint64("after", n.After).Uint64("known", f.after).Msg("news missed; reading the store")
+	if n.After > f.known.after {
+		f.Log.Debug().Uint64("after", n.After).Uint64("known", f.known.after).Msg("news missed; reading the store")
 		f.due, f.missed = time.Now(), true
 		return
 	}
-	f.known(max(f.after, n.Revision), n.Age)
+	f.advance(max(f.known.after, n.Revision), n.Age)
 	f.apply(n.Items)
 }
 
-// known notes that everything up to a revision was known some time ago.
-func (f *mirroring) known(revision uint64, age time.Duration) {
-	f.after = revision
+// advance notes that everything up to a revision was known some time ago.
+func (f *mirroring) advance(revision uint64, age time.Duration) {
+	f.known.advance(revision, time.Now().Add(-age))
 	if due := time.Now().Add(f.Spread.Patience() - age); due.After(f.due) {
 		f.due = due
 	}
@@ -198,10 +227,10 @@
 
 // read makes one listing or watch and passes on what it brings.
 func (f *mirroring) read(ctx context.Context) {
-	begun, before, first, relisted := time.Now(), f.after, f.after == 0, !f.listed
+	begun, before, relisted := time.Now(), f.known.after, !f.listed
 	items, revision, err := f.fetch(ctx)
 	if lhcode.Of(err) == lhcode.HistoryLost {
-		f.Log.Info().Uint64("after", f.after).Msg("store has dropped its history; listing again")
+		f.Log.Info().Uint64("after", before).Msg("store has dropped its history; listing again")
 		f.listed = false
 		return
 	}
@@ -219,9 +248,9 @@
 		return
 	}
 	f.due = begun
-	f.known(revision, time.Since(begun))
+	f.advance(revision, time.Since(begun))
 	changed := f.apply(items)
-	if first || missed {
+	if before == 0 || missed {
 		return
 	}
 	if relisted {
@@ -233,7 +262,7 @@
 
 // longestPause returns the longest pause between calls that fail.
 func (f *mirroring) longestPause() time.Duration {
-	if f.after == 0 {
+	if f.known.after == 0 {
 		return retryStart
 	}
 	return time.Duration(retryFactor * float64(f.Spread.Patience()))
@@ -242,14 +271,20 @@
 // fetch reads what has changed and the revision up to which that is all; 0 where
 // nothing was said.
 func (f *mirroring) fetch(ctx context.Context) ([]Item, uint64, error) {
+	if f.known.after == 0 {
+		ctx, cancel := context.WithTimeout(ctx, f.patience)
+		defer cancel()
+		f.patience *= 2
+		return f.list(ctx)
+	}
 	if !f.listed {
 		return f.list(ctx)
 	}
-	page, err := f.Feed.Changes(ctx, f.after, MirrorWait)
+	page, err := f.Feed.Changes(ctx, f.known.after, MirrorWait)
 	if err != nil || len(page.Items) == 0 {
 		return nil, 0, err
 	}
-	return page.Items, max(f.after, page.Revision), nil
+	return page.Items, max(f.known.after, page.Revision), nil
 }
 
 func (f *mirroring) note(ctx context.Context, err error) {
@@ -279,7 +314,7 @@
 		}
 	}
 	f.listed = true
-	return append(all, f.missing(all, first)...), first, nil
+	return append(all, f.known.missing(all, first)...), first, nil
 }
 
 // since returns the items that changed after a revision.
@@ -308,42 +343,10 @@
 	return kept
 }
 
-// missing returns the removals of the keys that are not listed.
-func (f *mirroring) missing(listed []Item, revision uint64) []Item {
-	there := make(map[string]bool, len(listed))
-	for _, it := range listed {
-		there[it.Key] = true
-	}
-	var gone []Item
-	for key, k := range f.keys {
-		if !there[key] && k.ended.IsZero() {
-			gone = append(gone, Item{Key: key, Revision: max(revision, k.revision+1), Deleted: true})
-		}
-	}
-	return gone
-}
-
 // apply hands on the items that are newer than what is known of their keys, and
 // returns those that say anything new.
 func (f *mirroring) apply(items []Item) []Item {
-	var newer []Item
-	now := time.Now()
-	for _, it := range items {
-		if k, ok := f.keys[it.Key]; ok && it.Revision <= k.revision {
-			continue
-		}
-		k := keyState{revision: it.Revision}
-		if it.Deleted {
-			k.ended = now
-		}
-		f.keys[it.Key] = k
-		newer = append(newer, it)
-	}
-	for key, k := range f.keys {
-		if !k.ended.IsZero() && now.Sub(k.ended) > deletedLife {
-			delete(f.keys, key)
-		}
-	}
+	newer := f.known.take(items, time.Now())
 	if len(newer) == 0 {
 		return nil
 	}
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -80,12 +80,15 @@
 	told   []News
 	heard  chan News
 	fresh  uint64
+	age    time.Duration
 	ok     []bool
+	// peers are asked for all they know.
+	peers []*view
 }
 
 func newView(l *ledger) *view {
 	v := &view{values: make(map[string]string), heard: make(chan News, 16)}
-	v.mirroring = newMirroring(Mirror{Feed: l, Spread: v, Consumer: v, Log: zerolog.Nop()})
+	v.mirroring = newMirroring(&Mirror{Feed: l, Spread: v, Consumer: v, Log: zerolog.Nop()})
 	return v
 }
 
@@ -105,11 +108,30 @@
 }
 
 func (v *view) Reached(ok bool, _ error)            { v.ok = append(v.ok, ok) }
-func (v *view) Refreshed(r uint64, _ time.Duration) { v.fresh = r }
+func (v *view) Refreshed(r uint64, a time.Duration) { v.fresh, v.age = r, a }
+func (v *view) Data(key string) ([]byte, bool)      { d, ok := v.values[key]; return []byte(d), ok }
 func (v *view) Patience() time.Duration             { return time.Second }
 func (v *view) Tell(n News)                         { v.told = append(v.told, n) }
 func (v *view) Heard() <-chan News                  { return v.heard }
 
+// State gives the newest of what the peers know, on the way to another process and back.
+func (v *view) State(context.Context) (News, error) {
+	var newest News
+	for _, p := range v.peers {
+		if n := p.Mirror.State(); n.Revision > newest.Revision {
+			newest = n
+		}
+	}
+	if newest.Revision == 0 {
+		return newest, lhcode.New(lhcode.PeerUnreachable, "nobody knows")
+	}
+	packed, err := newest.Pack()
+	if err != nil {
+		return newest, err
+	}
+	return newest, newest.Unpack(packed)
+}
+
 // readAll reads until nothing more is due at once.
 func (v *view) readAll() {
 	for range 4 {
@@ -402,3 +424,102 @@
 	}
 	assert.Equal(t, last, "end")
 }
+
+// TestStartWhileStoreAway starts a VM while the store does not answer. It begins with
+// the newest of what others know, and when the store is back reads only what has
+// changed since.
+func TestStartWhileStoreAway(t *testing.T) {
+	l := newLedger()
+	l.write("a", "1")
+	stale := newView(l)
+	stale.readAll()
+	l.write("b", "2")
+	l.write("a", "")
+	newest := newView(l)
+	newest.readAll()
+	l.failing = true
+	v := newView(l)
+	v.peers = []*view{newView(l), stale, newest}
+	v.turn(context.Background())
+	assert.DeepEqual(t, v.values, map[string]string{"b": "2"})
+	assert.Equal(t, v.fresh, l.revision)
+	assert.Assert(t, v.age > 0)
+	assert.DeepEqual(t, v.ok, []bool{false})
+
+	l.write("c", "3")
+	l.write("b", "")
+	l.failing = false
+	v.readAll()
+	assert.DeepEqual(t, v.values, l.values())
+	assert.Equal(t, v.fresh, l.revision)
+}
+
+// TestStartAloneWhileStoreAway starts a VM whose contacts know nothing either.
+func TestStartAloneWhileStoreAway(t *testing.T) {
+	l := newLedger()
+	l.write("a", "1")
+	l.failing = true
+	v := newView(l)
+	v.peers = []*view{newView(l)}
+	v.turn(context.Background())
+	assert.Equal(t, v.fresh, uint64(0))
+	assert.Assert(t, time.Until(v.due) <= retryStart)
+	l.failing = false
+	v.turn(context.Background())
+	assert.DeepEqual(t, v.values, l.values())
+}
+
+// TestStateAfterChanges checks that a VM which begins with another's state and hears
+// the news after it knows what all others know, whatever changes come.
+func TestStateAfterChanges(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		l := newLedger()
+		peer, late := newView(l), newView(l)
+		late.peers = []*view{peer}
+		for i := range rapid.IntRange(1, 30).Draw(r, "changes") {
+			key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(r, "key")
+			if _, there := l.items[key]; there && rapid.Bool().Draw(r, "remove") {
+				l.write(key, "")
+			} else {
+				l.write(key, fmt.Sprint(i))
+			}
+			if rapid.Bool().Draw(r, "read") {
+				peer.readAll()
+			}
+		}
+		peer.readAll()
+		l.failing = true
+		late.turn(context.Background())
+		l.failing = false
+		assert.DeepEqual(r, late.values, peer.values)
+		l.write("e", "new")
+		l.write("a", "newer")
+		told := len(peer.told)
+		peer.readAll()
+		for _, n := range peer.told[told:] {
+			late.hear(n)
+		}
+		assert.DeepEqual(r, late.values, l.values())
+		assert.Equal(r, late.fresh, l.revision)
+	})
+}
+
+// stuckFeed is a store that never answers.
+type stuckFeed struct{ *ledger }
+
+func (stuckFeed) List(ctx context.Context, _ string) (Page, error) {
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+// TestStartDoesNotWaitForTheStore checks that a store which does not answer is given
+// up after a short time, and later after longer ones.
+func TestStartDoesNotWaitForTheStore(t *testing.T) {
+	v := newView(newLedger())
+	v.Mirror.Feed = stuckFeed{}
+	for want := startTimeout; want <= 2*startTimeout; want *= 2 {
+		assert.Equal(t, v.patience, want)
+		v.read(context.Background())
+	}
+	assert.DeepEqual(t, v.ok, []bool{false})
+}
