lhflow: hand over floods that wait at the VMs

In a flood servers queue eight requests and shed the rest: what they take is late, and urgent work is shed with the rest. While three quarters of a service's answers (quick ones left out) take longer than 0.75 of the route's latency target, its least urgent kind may have 2.5 requests in progress a slot, each VM its share; more is dropped and sent again by its caller, and the last copy of a SYN refused. Nothing is held back for 4 s after a start. target_latency_ms is decoded, and urgency decides at last.

--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -33,6 +33,7 @@
 	}
 	if members {
 		m.spread.SetMembers(slices.Collect(maps.Values(m.members)))
+		m.engine.SetVMs(len(m.members))
 	}
 	m.update()
 	return told
--- a/lhmark/bench_test.go
+++ b/lhmark/bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // heap returns the bytes in use after a collection.
-func heap() uint64 {
+func heapSize() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
@@ -28,14 +28,14 @@
 			v.directory.Set(server(n, "a"))
 		}
 		v.refresh()
-		before := heap()
+		before := heapSize()
 		for i := range uint32(flows) {
 			ev := packet(uint16(i), lhflow.SYN)
 			ev.Key.Caller[15] = byte(i >> 16)
 			ev.ID = lhflow.Seed{}.ID(ev.Key)
 			v.handle(ev)
 		}
-		b.ReportMetric(float64(heap()-before)/flows, "B/flow")
+		b.ReportMetric(float64(heapSize()-before)/flows, "B/flow")
 		runtime.KeepAlive(v)
 	}
 }
@@ -51,7 +51,7 @@
 			Name: fmt.Sprint("r-", i), Address: netip.AddrPortFrom(address, 443), Parts: []Part{{Service: fmt.Sprint("s-", i)}},
 		})
 	}
-	before := heap()
+	before := heapSize()
 	v := &vm{Engine: NewEngine("dc-1", Limits{}), now: time.Minute}
 	v.directory.SetConfig(cfg)
 	for n := range uint32(servers) {
@@ -60,7 +60,7 @@
 		v.directory.Set(s)
 	}
 	v.refresh()
-	size := heap() - before
+	size := heapSize() - before
 	s := server(1, "dc-1")
 	for b.Loop() {
 		s.Born++
--- a/lhmark/config.go
+++ b/lhmark/config.go
@@ -26,6 +26,8 @@
 	Repeatable bool
 	// Urgency orders kinds of work: a higher one is refused later.
 	Urgency lhconf.Urgency
+	// Target is the time within which requests should be answered; 0 for none.
+	Target time.Duration
 }
 
 // Part is a service's part of the new flows of a route.
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -60,7 +60,8 @@
 	shards  [shardCount]shard
 	size    atomic.Int64
 	// gauges holds a *gauge for each server by its number.
-	gauges sync.Map
+	gauges    sync.Map
+	admission admission
 }
 
 // NewEngine returns an Engine of a VM in a data centre, which knows no table yet.
@@ -88,6 +89,9 @@
 		}
 		return true
 	})
+	if len(t.serving) > 0 {
+		e.admission.begin(now)
+	}
 	e.table.Store(t)
 }
 
@@ -150,7 +154,11 @@
 	if e.Len() >= e.limits.Flows {
 		e.expire(ev.Now, s, t.idle())
 	}
-	c := e.choose(ev.Now, ev.ID, t.serving[route.service(ev.ID)], nil)
+	service := route.service(ev.ID)
+	if e.holdsBack(ev.Now, t, route, service, nil) {
+		return holdBack(ev, route)
+	}
+	c := e.choose(ev.Now, ev.ID, t.serving[service], nil)
 	if c == nil {
 		return refuse(lhflow.ReasonNoServer, route)
 	}
@@ -244,6 +252,11 @@
 	}
 	d.Known = known
 	d.Route, _ = t.Route(ev.Key)
+	if known && d.Action == lhflow.ToServer && r.begins(ev) && e.holdsBack(ev.Now, t, d.Route, server.Service, server) {
+		r.seen = ev.Now
+		d.Verdict = lhflow.Verdict{Reason: lhflow.ReasonRefused}
+		return d
+	}
 	kept := known
 	if !known && d.Action == lhflow.ToServer && !ev.Flags.Has(lhflow.RST) && e.Len() < e.limits.Flows {
 		s.put(ev.Key, r)
@@ -284,6 +297,9 @@
 	if r.busy && int32(ev.Ack-r.ack) > 0 {
 		d.Served, d.After = true, ev.Now-r.sent
 		e.idle(g, r)
+		if d.To != nil {
+			e.admission.answered(d.Route, d.To.Service, d.After)
+		}
 	}
 	if end := ev.Seq + uint32(ev.Data); ev.Data > 0 && int32(end-r.end) > 0 {
 		r.end = end
--- a/lhmark/gauge.go
+++ b/lhmark/gauge.go
@@ -52,6 +52,13 @@
 	return c
 }
 
+// progress returns the number of flows with work in progress.
+func (g *gauge) progress() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.busy)
+}
+
 // place notes a SYN that goes to the server.
 func (g *gauge) place(now time.Duration) {
 	g.mu.Lock()
--- a/lhmark/record.go
+++ b/lhmark/record.go
@@ -68,6 +68,11 @@
 	return silence > idle
 }
 
+// begins reports whether a packet brings the first data of a request.
+func (r *record) begins(ev *lhflow.Event) bool {
+	return ev.Data > 0 && !r.busy && int32(ev.Seq+uint32(ev.Data)-r.end) > 0
+}
+
 // shard is a part of the records.
 type shard struct {
 	mu      sync.Mutex
--- a/lhmark/table.go
+++ b/lhmark/table.go
@@ -20,6 +20,8 @@
 	serving map[string][]*Server
 	// gone holds the numbers of servers that have ended, which are in numbers as well.
 	gone map[uint32]bool
+	// least holds the urgency of the least urgent route to each service.
+	least map[string]lhconf.Urgency
 }
 
 // newTable returns the table of a configuration with the servers that there are and
@@ -31,9 +33,10 @@
 		numbers: make(map[uint32]*Server, len(present)+len(ended)),
 		serving: make(map[string][]*Server),
 		gone:    make(map[uint32]bool, len(ended)),
+		least:   make(map[string]lhconf.Urgency),
 	}
 	for i := range cfg.Routes {
-		t.routes[cfg.Routes[i].Address] = &cfg.Routes[i]
+		t.route(&cfg.Routes[i])
 	}
 	for _, s := range ended {
 		t.number(s)
@@ -56,6 +59,16 @@
 	return t
 }
 
+// route enters a route under its address.
+func (t *Table) route(r *Route) {
+	t.routes[r.Address] = r
+	for _, p := range r.Parts {
+		if least, ok := t.least[p.Service]; !ok || r.Urgency < least {
+			t.least[p.Service] = r.Urgency
+		}
+	}
+}
+
 // number enters a server under its number. Of two with the same, the older keeps it
 // at every VM.
 func (t *Table) number(s *Server) {
