--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -51,7 +51,7 @@
 	return data, data != nil
 }
 
-// encode returns the data of a key, or nil. The lock is held.
+// encode returns the data of a key, or nil where there is none. The lock is held.
 func (m *Marked) encode(key string) ([]byte, error) {
 	codec := m.outside.Codec
 	if codec.IsConfig(key) {
--- a/lhmark/admit.go
+++ b/lhmark/admit.go
@@ -25,9 +25,9 @@
 	// its servers where there is least room: one that runs, and one or two that wait for
 	// about as long as one runs.
 	workPerSlot = 2.5
-	// mostRoom is how many times that a service may have where it answers in time. Servers
-	// hold half as many, so that nothing is held back then; and as many VMs may be gone
-	// that are still counted.
+	// mostRoom is how many times that a service may have where it answers in time. Nothing
+	// is held back then; on the way there the room makes up for VMs that are gone and still
+	// counted.
 	mostRoom = 4.0
 	// stuckPart is how many times its share of that bound is counted at one server at
 	// most. What is there beyond it waits for a server that does not answer.
@@ -53,7 +53,7 @@
 }
 
 // room is how much work a service may have in progress: from 1, the least, to mostRoom,
-// which is more than its servers hold. The zero room is mostRoom.
+// where nothing is held back. The zero room is mostRoom.
 type room struct {
 	mu sync.Mutex
 	// less is what is taken from mostRoom, from 0 to mostRoom-1.
@@ -121,10 +121,7 @@
 		return false
 	}
 	size := a.room(service).size()
-	if only != nil && e.gauge(only).progress() < size*a.share(only) {
-		return false
-	}
-	if size == mostRoom {
+	if size == mostRoom || only != nil && e.gauge(only).progress() < size*a.share(only) {
 		return false
 	}
 	busy, bound := 0.0, 0.0
--- a/lhspread/doc.go
+++ b/lhspread/doc.go
@@ -12,6 +12,9 @@
 // cost a few calls. News name the revision that they begin from: who lacks something
 // before it reads the store as well.
 //
+// A VM that starts while the store does not answer asks the contacts of its settings for
+// all they know (State).
+//
 // Order holds the decisions and opens no socket. Node carries them out over
 // connect-go.
 package lhspread
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -47,7 +47,8 @@
 	// this one knows.
 	contacts []netip.AddrPort
 	state    func() lhstore.News
-	giving   sync.Mutex
+	// giving is held while a state is made for another VM.
+	giving sync.Mutex
 	// away holds until when a VM is passed over that could not be reached, by name.
 	away sync.Map
 	// heard holds what others have told, told what is to be passed on.
