lhflow: hand over a start that outlasts a long outage

The time for the first listing doubled with each failure without a bound; after 36 of them, seven seconds of a store that refuses, it overflowed, and the VM gave up each listing at once for ever. A bound of one call's time: at full size a listing has 83 pages, each of which may take 0.8 s. The time doubles to two minutes at most. TestStartAfterLongOutage, 100 failures: failed before, passes now.

--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -107,6 +107,9 @@
 	// much each: the store answers in a few milliseconds, and a VM that knows nothing can
 	// as well ask another one.
 	startTimeout = 250 * time.Millisecond
+	// longestStart bounds that time. All pages of a large store come within it, also while
+	// each takes as long as the store's client waits.
+	longestStart = 2 * time.Minute
 )
 
 // Mirror follows a store: it lists it once and then watches for changes, or hears of
@@ -274,7 +277,7 @@
 	if f.known.after == 0 {
 		ctx, cancel := context.WithTimeout(ctx, f.patience)
 		defer cancel()
-		f.patience *= 2
+		f.patience = min(2*f.patience, longestStart)
 		return f.list(ctx)
 	}
 	if !f.listed {
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -523,3 +523,29 @@
 	}
 	assert.DeepEqual(t, v.ok, []bool{false})
 }
+
+// boundFeed is a store whose listings end with their context.
+type boundFeed struct{ *ledger }
+
+func (b boundFeed) List(ctx context.Context, after string) (Page, error) {
+	if err := ctx.Err(); err != nil {
+		return Page{}, err
+	}
+	return b.ledger.List(ctx, after)
+}
+
+// TestStartAfterLongOutage checks that a VM which has asked a store in vain a hundred
+// times still takes its answer.
+func TestStartAfterLongOutage(t *testing.T) {
+	l := newLedger()
+	l.write("a", "1")
+	l.failing = true
+	v := newView(l)
+	v.Mirror.Feed = boundFeed{l}
+	for range 100 {
+		v.read(context.Background())
+	}
+	l.failing = false
+	v.read(context.Background())
+	assert.DeepEqual(t, v.values, l.values())
+}
