lhflow: hand over one loop for periodic work and a strict list of contacts

housekeep calls every as Entry does, which moves to parts.go. An empty list of contacts is a fault again in settings of VMs that own flows, as it was; only those for marked flows may leave it empty (orNone), since the platform fills them in. The case in TestParseSettingsProblems failed before. A test for a server that is always set is gone.

--- a/lhconf/address.go
+++ b/lhconf/address.go
@@ -27,10 +27,6 @@
 		allowed: "IP addresses with ports from 1 to 65535, parted by commas",
 		set: func(t *T, value string) lhcode.Code {
 			var list []netip.AddrPort
-			if value == "" {
-				*at(t) = nil
-				return lhcode.OK
-			}
 			for _, part := range strings.Split(value, ",") {
 				var e netip.AddrPort
 				if code := setEndpoint(strings.TrimSpace(part), 1, &e); code != lhcode.OK {
--- a/lhconf/field.go
+++ b/lhconf/field.go
@@ -22,6 +22,19 @@
 	return f
 }
 
+// orNone returns the field as one that may stand without a value, which leaves T as it
+// is.
+func (f field[T]) orNone() field[T] {
+	set := f.set
+	f.set = func(t *T, value string) lhcode.Code {
+		if value == "" {
+			return lhcode.OK
+		}
+		return set(t, value)
+	}
+	return f
+}
+
 // fill sets the fields of t from a section; of two statements for a key the later
 // counts. It reports each statement that is unknown or wrong, and each required
 // key that is absent.
--- a/lhconf/marked.go
+++ b/lhconf/marked.go
@@ -90,7 +90,7 @@
 		endpointField("ops", 0, func(s *MarkedSettings) *netip.AddrPort { return &s.Ops }).must(),
 	}},
 	{"peers", []field[MarkedSettings]{
-		endpointsField("contact", func(s *MarkedSettings) *[]netip.AddrPort { return &s.Contacts }),
+		endpointsField("contact", func(s *MarkedSettings) *[]netip.AddrPort { return &s.Contacts }).orNone(),
 	}},
 	{"platform", []field[MarkedSettings]{
 		urlField("url", func(s *MarkedSettings) *string { return &s.Platform }).must(),
--- a/lhconf/settings_test.go
+++ b/lhconf/settings_test.go
@@ -76,6 +76,7 @@
 		{"unknown section", "", "[limit]\nflows = 5000\n", added + 1, "limit.flows", lhcode.SettingUnknown},
 		{"key before sections", "# A VM", "flows = 1\n# A VM", 1, ".flows", lhcode.SettingUnknown},
 		{"missing key", "to = 10.0.0.1:6081\n", "", 13, "fabric.to", lhcode.SettingMissing},
+		{"empty list", "", "[peers]\ncontact =\n", added + 1, "peers.contact", lhcode.SettingInvalid},
 		{"wrong unit", "", "[times]\nstop = 30\n", added + 1, "times.stop", lhcode.SettingInvalid},
 		{"zero without unit", "", "[times]\nstop = 0\n", added + 1, "times.stop", lhcode.SettingInvalid},
 		{"rate without unit", "", "[limits]\ncontrol = 3000\n", added + 1, "limits.control", lhcode.SettingInvalid},
--- a/lhentry/group.go
+++ b/lhentry/group.go
@@ -184,20 +184,6 @@
 	return every(ctx, listInterval, func() { e.readList(ctx) })
 }
 
-// every calls f once an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f()
-		}
-	}
-}
-
 // standing reports whether a backend server is declared, and whether it stands in
 // a data centre that can't be reached.
 func (e *Entry) standing(server uint32) (declared, cut bool) {
--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -223,20 +223,13 @@
 
 // housekeep does what time alone brings about until the context ends.
 func (m *Marked) housekeep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			m.engine.Expire(m.now())
-			m.mu.Lock()
-			m.update()
-			m.mu.Unlock()
-			m.lines.report()
-		}
-	}
+	return every(ctx, sweepPeriod, func() {
+		m.engine.Expire(m.now())
+		m.mu.Lock()
+		m.update()
+		m.mu.Unlock()
+		m.lines.report()
+	})
 }
 
 func (m *Marked) serveReady(ctx context.Context) error {
--- a/lhentry/parts.go
+++ b/lhentry/parts.go
@@ -1,6 +1,9 @@
 package lhentry
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // lifecycle is how a process runs its parts and ends them.
 type lifecycle struct {
@@ -45,3 +48,17 @@
 	}
 	return len(parts)
 }
+
+// every calls f once an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -297,9 +297,7 @@
 	if r.busy && int32(ev.Ack-r.ack) > 0 {
 		d.Served, d.After = true, ev.Now-r.sent
 		e.idle(g, r)
-		if d.To != nil {
-			e.admission.answered(ev.Now, d.Route, d.To.Service, d.After)
-		}
+		e.admission.answered(ev.Now, d.Route, d.To.Service, d.After)
 	}
 	if end := ev.Seq + uint32(ev.Data); ev.Data > 0 && int32(end-r.end) > 0 {
 		r.end = end
