lhstore, lhspread: read the store once for all VMs while nothing changes

Cause: a watch that returned nothing counted as no proof, so the reader watched for 1 s, listed the store and told the others after 1.6 s; they consider their state outdated after 1.1 to 1.7 s and read for themselves.

Change: a watch that returns nothing at the known revision proves that nothing has changed, and waits for 300 ms. A VM that has missed an update, or whose state is outdated, asks another VM of its data centre for the changes since its revision before it reads the store; so it no longer stays behind while it can't reach the store (TestMissedUpdateFromPeer).

Updates now say that they result from a listing, and VMs that may know more ask for the complete state (TestListingHidesDeletion).

--- a/lhspread/doc.go
+++ b/lhspread/doc.go
@@ -11,11 +11,11 @@
 // No agreement protocol is needed. A VM that has received no update for some time reads
 // the store itself and sends what it read; VMs that come earlier in the order do so
 // sooner. So the loss of any VM, a partition between data centres or a store that refuses
-// some VMs costs only a few calls. Each update names the revision that it starts from; a
-// VM that lacks changes before it reads the store as well.
+// some VMs costs only a few calls.
 //
-// A VM that starts while the store does not answer requests the complete state from the
-// contacts in its settings (State).
+// Each update names the revision that it starts from. A VM that lacks changes before it
+// requests them from other VMs of its data centre (State). A VM that starts while the store
+// does not answer requests the complete state from the contacts in its settings.
 //
 // Order holds the decisions and opens no socket. Node carries them out over connect-go.
 package lhspread
--- a/lhspread/lhspreadv1/spread.connect.go
+++ b/lhspread/lhspreadv1/spread.connect.go
@@ -44,8 +44,9 @@
 	// Tell delivers the changes of the store between two of its revisions. The callee
 	// forwards them to its children in the tree of its data centre.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
-	// State returns the complete state of the store as known to the callee. A VM calls it
-	// when it starts while the store does not answer.
+	// State returns the state of the store as known to the callee, or the changes after a
+	// revision. A VM calls it when it starts while the store does not answer, and when it
+	// has missed an update.
 	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
 }
 
@@ -96,8 +97,9 @@
 	// Tell delivers the changes of the store between two of its revisions. The callee
 	// forwards them to its children in the tree of its data centre.
 	Tell(context.Context, *connect.Request[TellRequest]) (*connect.Response[TellResponse], error)
-	// State returns the complete state of the store as known to the callee. A VM calls it
-	// when it starts while the store does not answer.
+	// State returns the state of the store as known to the callee, or the changes after a
+	// revision. A VM calls it when it starts while the store does not answer, and when it
+	// has missed an update.
 	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
 }
 
--- /dev/null
+++ b/lhspread/load_test.go
@@ -0,0 +1,321 @@
+package lhspread
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhcode"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
+)
+
+// The load tests run a fleet of Mirrors in virtual time against a store that counts its
+// calls. Calls between VMs follow the tree of Order and take some time.
+const (
+	storeLatency = 4 * time.Millisecond
+	peerLatency  = 20 * time.Millisecond
+	// maxStoreCallRate is how many calls a second all VMs together may make of the store,
+	// whatever their number: 1,200 within 48 s, of which the start of 231 VMs takes four
+	// each.
+	maxStoreCallRate = 5
+)
+
+// countingStore is a store in memory.
+type countingStore struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]lhstore.Item
+	history  []lhstore.Item
+	changed  chan struct{}
+	// refused holds the names of the VMs whose calls fail.
+	refused map[string]bool
+	calls   int
+}
+
+func newCountingStore() *countingStore {
+	s := &countingStore{revision: 1, items: make(map[string]lhstore.Item), changed: make(chan struct{}), refused: make(map[string]bool)}
+	s.write("config", "1")
+	return s
+}
+
+func (s *countingStore) write(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := lhstore.Item{Key: key, Data: []byte(value), Revision: s.revision}
+	s.items[key] = it
+	s.history = append(s.history, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *countingStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// setRefused replaces the VMs whose calls fail.
+func (s *countingStore) setRefused(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.refused)
+	for _, name := range names {
+		s.refused[name] = true
+	}
+}
+
+// storeClient is the store as one VM sees it.
+type storeClient struct {
+	*countingStore
+	vm string
+}
+
+// begin counts a call and returns an error if the VM is refused.
+func (c storeClient) begin() error {
+	time.Sleep(storeLatency)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.refused[c.vm] {
+		return lhcode.New(lhcode.StoreUnavailable, "refused")
+	}
+	return nil
+}
+
+func (c storeClient) List(context.Context, string) (lhstore.Page, error) {
+	if err := c.begin(); err != nil {
+		return lhstore.Page{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lhstore.Page{Items: slices.Collect(maps.Values(c.items)), Revision: c.revision}, nil
+}
+
+func (c storeClient) Changes(ctx context.Context, after uint64, wait time.Duration) (lhstore.Page, error) {
+	if err := c.begin(); err != nil {
+		return lhstore.Page{}, err
+	}
+	timer := time.After(wait)
+	for {
+		c.mu.Lock()
+		page := lhstore.Page{Revision: c.revision}
+		for _, it := range c.history {
+			if it.Revision > after {
+				page.Items = append(page.Items, it)
+			}
+		}
+		changed := c.changed
+		c.mu.Unlock()
+		if len(page.Items) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer:
+			return page, nil
+		case <-ctx.Done():
+			return lhstore.Page{}, ctx.Err()
+		}
+	}
+}
+
+// fleetVM is a VM that exchanges updates with the others in memory. It is the Consumer and
+// the Distributor of its Mirror.
+type fleetVM struct {
+	fleet   *fleet
+	member  Member
+	order   *Order
+	mirror  *lhstore.Mirror
+	updates chan lhstore.Update
+	mu      sync.Mutex
+	values  map[string]string
+}
+
+func (v *fleetVM) Apply(items []lhstore.Item) []lhstore.Item {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var changed []lhstore.Item
+	for _, it := range items {
+		if v.values[it.Key] != string(it.Data) {
+			v.values[it.Key] = string(it.Data)
+			changed = append(changed, it)
+		}
+	}
+	return changed
+}
+
+func (v *fleetVM) Data(key string) ([]byte, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	value, ok := v.values[key]
+	return []byte(value), ok
+}
+
+func (v *fleetVM) value(key string) string {
+	data, _ := v.Data(key)
+	return string(data)
+}
+
+func (v *fleetVM) ReachabilityChanged(bool, error)   {}
+func (v *fleetVM) Refreshed(uint64, time.Duration)   {}
+func (v *fleetVM) MaxAge() time.Duration             { return v.order.MaxAge() }
+func (v *fleetVM) AsksPeers() bool                   { return v.order.AsksPeers() }
+func (v *fleetVM) Updates() <-chan lhstore.Update    { return v.updates }
+func (v *fleetVM) send(u lhstore.Update, n treeNode) { v.fleet.deliver(v, u, n) }
+
+func (v *fleetVM) Publish(u lhstore.Update) {
+	if v.order.Publishes() {
+		for _, n := range v.order.roots() {
+			go v.send(u, n)
+		}
+	}
+}
+
+func (v *fleetVM) State(_ context.Context, after uint64) (lhstore.Update, error) {
+	time.Sleep(peerLatency)
+	for _, m := range v.order.neighbours(1, v.fleet.permutation) {
+		return v.fleet.vms[m.Name].mirror.State(after), nil
+	}
+	return lhstore.Update{}, lhcode.New(lhcode.PeerUnreachable, "no other VM")
+}
+
+// fleet is a number of VMs in five data centres.
+type fleet struct {
+	store *countingStore
+	vms   map[string]*fleetVM
+	mu    sync.Mutex
+	// random and lossRate decide which calls between VMs fail.
+	random   *rand.Rand
+	lossRate float64
+}
+
+func (f *fleet) permutation(n int) []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Perm(n)
+}
+
+// deliver sends an update from one VM to a node of its tree, as Node does: the children of
+// a VM that was not reached are called in its place.
+func (f *fleet) deliver(from *fleetVM, u lhstore.Update, n treeNode) {
+	time.Sleep(peerLatency)
+	u.Age += peerLatency
+	to := f.vms[n.member().Name]
+	f.mu.Lock()
+	lost := f.random.Float64() < f.lossRate
+	f.mu.Unlock()
+	if lost {
+		time.Sleep(dialTimeout)
+		u.Age += dialTimeout
+		to = from
+	}
+	if to != from {
+		select {
+		case to.updates <- u:
+		default:
+		}
+	}
+	for _, child := range n.children() {
+		go to.send(u, child)
+	}
+}
+
+// startFleet starts VMs, all of which know each other, and waits until they have listed
+// the store.
+func startFleet(ctx context.Context, vms int, lossRate float64) (*fleet, []<-chan error) {
+	f := &fleet{store: newCountingStore(), vms: make(map[string]*fleetVM), random: rand.New(rand.NewPCG(1, 2))}
+	members := newMembers(vms/5, 5)
+	var ended []<-chan error
+	for _, m := range members {
+		v := &fleetVM{
+			fleet: f, member: m, order: NewOrder(m.Name, members),
+			updates: make(chan lhstore.Update, queueLength), values: make(map[string]string),
+		}
+		v.mirror = &lhstore.Mirror{Feed: storeClient{f.store, m.Name}, Consumer: v, Distributor: v, Log: zerolog.Nop()}
+		f.vms[m.Name] = v
+	}
+	for _, v := range f.vms {
+		ended = append(ended, v.mirror.Run(ctx))
+	}
+	time.Sleep(10 * time.Second)
+	f.mu.Lock()
+	f.lossRate = lossRate
+	f.mu.Unlock()
+	return f, ended
+}
+
+// ranked returns the names of all VMs in order.
+func (f *fleet) ranked() []string {
+	var members []Member
+	for _, v := range f.vms {
+		members = append(members, v.member)
+	}
+	var names []string
+	for _, m := range sortByHash(members) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// TestStoreCallRate runs VMs for a minute: the pattern of a day on which the store hardly
+// changes, of one on which it changes all the time, and of one on which calls between VMs
+// are lost. The calls of the store must not grow with the number of VMs, and all VMs have
+// to know the last change.
+func TestStoreCallRate(t *testing.T) {
+	cases := []struct {
+		name string
+		// changes is the interval between two changes of the store.
+		changes  time.Duration
+		lossRate float64
+		// refused is the number of VMs, the first in order, that the store refuses.
+		refused int
+	}{
+		{"hardly any change", 20 * time.Second, 0, 0},
+		{"a change every 100 ms", 100 * time.Millisecond, 0, 0},
+		{"lost updates", 100 * time.Millisecond, 0.01, 0},
+		{"first VM refused by the store", time.Second, 0, 1},
+	}
+	for _, c := range cases {
+		for _, vms := range []int{20, 200} {
+			t.Run(fmt.Sprintf("%s/%d VMs", c.name, vms), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(context.Background())
+					f, ended := startFleet(ctx, vms, c.lossRate)
+					f.store.setRefused(f.ranked()[:c.refused]...)
+					before, start := f.store.callCount(), time.Now()
+					last := ""
+					for i := 0; time.Since(start) < time.Minute; i++ {
+						time.Sleep(c.changes)
+						last = fmt.Sprint(i)
+						f.store.write("key", last)
+					}
+					calls := f.store.callCount() - before
+					time.Sleep(4 * time.Second)
+					behind := 0
+					for _, v := range f.vms {
+						if v.value("key") != last {
+							behind++
+						}
+					}
+					cancel()
+					for _, e := range ended {
+						assert.NilError(t, <-e)
+					}
+					t.Logf("%d calls of the store in a minute", calls)
+					assert.Equal(t, behind, 0, "VMs that lack the last change")
+					assert.Assert(t, calls <= 60*maxStoreCallRate, "%d calls", calls)
+				})
+			})
+		}
+	}
+}
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -44,9 +44,9 @@
 	http  *http.Client
 	log   zerolog.Logger
 	// contacts are the control addresses of VMs that may have state; state returns the
-	// complete state known to this VM.
+	// changes after a revision known to this VM, or its complete state.
 	contacts []netip.AddrPort
-	state    func() lhstore.Update
+	state    func(after uint64) lhstore.Update
 	// packing is held while the state is collected and packed for another VM.
 	packing sync.Mutex
 	// skipUntil holds, by name, until when a VM that could not be reached is skipped.
@@ -64,6 +64,7 @@
 	after, revision uint64
 	// packed holds the items; all calls share it.
 	packed  []byte
+	listed  bool
 	readAt  time.Time
 	targets []treeNode
 }
@@ -71,7 +72,7 @@
 // NewNode returns the Node of a VM. Until SetMembers is called it knows no other VMs but
 // its contacts, which State queries. It answers such queries of others with the result of
 // state.
-func NewNode(self string, contacts []netip.AddrPort, state func() lhstore.Update, log zerolog.Logger) *Node {
+func NewNode(self string, contacts []netip.AddrPort, state func(after uint64) lhstore.Update, log zerolog.Logger) *Node {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	n := &Node{
@@ -106,6 +107,9 @@
 // MaxAge returns the age of the known state at which the VM reads the store.
 func (n *Node) MaxAge() time.Duration { return n.order.Load().MaxAge() }
 
+// AsksPeers reports whether the VM asks others for changes before it reads the store.
+func (n *Node) AsksPeers() bool { return n.order.Load().AsksPeers() }
+
 // Updates returns the channel of updates received from other VMs.
 func (n *Node) Updates() <-chan lhstore.Update { return n.incoming }
 
@@ -120,7 +124,10 @@
 		n.log.Error().Err(err).Uint64("at", update.Revision).Msg("failed to pack update")
 		return
 	}
-	n.enqueue(delivery{after: update.After, revision: update.Revision, packed: packed, readAt: time.Now(), targets: o.roots()})
+	n.enqueue(delivery{
+		after: update.After, revision: update.Revision, packed: packed, listed: update.Listed,
+		readAt: time.Now().Add(-update.Age), targets: o.roots(),
+	})
 }
 
 // enqueue queues a delivery for Run, or drops it if the queue is full.
@@ -201,7 +208,8 @@
 	client := lhspreadv1.NewSpreadServiceClient(n.http, "http://"+m.Control.String())
 	n.calls.Add(1)
 	request := &lhspreadv1.TellRequest{
-		After: d.after, Revision: d.revision, Age: uint32(time.Since(d.readAt).Milliseconds()), Changes: d.packed,
+		After: d.after, Revision: d.revision, Age: uint32(time.Since(d.readAt).Milliseconds()),
+		Changes: d.packed, Listed: d.listed,
 	}
 	if _, err := client.Tell(ctx, connect.NewRequest(request)); err != nil {
 		n.failures.Add(1)
@@ -223,13 +231,14 @@
 	n.received.Add(1)
 	update := lhstore.Update{
 		After: r.Msg.GetAfter(), Revision: r.Msg.GetRevision(), Age: time.Duration(r.Msg.GetAge()) * time.Millisecond,
+		Listed: r.Msg.GetListed(),
 	}
 	if err := update.Unpack(r.Msg.GetChanges()); err != nil {
 		n.log.Warn().Err(err).Uint64("at", update.Revision).Msg("failed to unpack update")
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	n.enqueue(delivery{
-		after: update.After, revision: update.Revision, packed: r.Msg.GetChanges(),
+		after: update.After, revision: update.Revision, packed: r.Msg.GetChanges(), listed: update.Listed,
 		readAt: time.Now().Add(-update.Age), targets: n.order.Load().selfChildren(),
 	})
 	select {
--- a/lhspread/node_test.go
+++ b/lhspread/node_test.go
@@ -28,8 +28,8 @@
 	return startWith(t, name, dataCentre, nil, nil)
 }
 
-// startWith starts a Node with contacts and a function that returns its state.
-func startWith(t *testing.T, name, dataCentre string, contacts []netip.AddrPort, state func() lhstore.Update) *testNode {
+// startWith starts a Node with contacts and a function that returns its state or changes.
+func startWith(t *testing.T, name, dataCentre string, contacts []netip.AddrPort, state func(uint64) lhstore.Update) *testNode {
 	t.Helper()
 	n := NewNode(name, contacts, state, zerolog.Nop())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/lhspread/order.go
+++ b/lhspread/order.go
@@ -89,6 +89,10 @@
 // Publishes reports whether the VM sends what it reads to the others.
 func (o *Order) Publishes() bool { return o.rank < publishers }
 
+// AsksPeers reports whether the VM asks others for changes before it reads the store. The
+// VMs that publish are the ones that the others learn changes from.
+func (o *Order) AsksPeers() bool { return !o.Publishes() && len(o.byDataCentre) > 0 }
+
 // Size returns the number of members.
 func (o *Order) Size() int {
 	sum := 0
@@ -138,3 +142,24 @@
 	}
 	return nil
 }
+
+// neighbours returns up to n other members of the VM's data centre, or of all if the VM is
+// not a member, in the order of a random permutation of their indexes.
+func (o *Order) neighbours(n int, permutation func(int) []int) []Member {
+	var others []Member
+	for _, group := range o.byDataCentre {
+		if i := slices.IndexFunc(group, o.isSelf); i >= 0 {
+			others = slices.Concat(group[:i], group[i+1:])
+			break
+		}
+		others = append(others, group...)
+	}
+	var list []Member
+	for _, i := range permutation(len(others))[:min(n, len(others))] {
+		list = append(list, others[i])
+	}
+	return list
+}
+
+// isSelf reports whether a member is the VM itself.
+func (o *Order) isSelf(m Member) bool { return m.Name == o.self }
--- a/lhspread/state.go
+++ b/lhspread/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -16,12 +17,20 @@
 // times the size of a state with 41,000 backend servers and 16,000 routes.
 const maxStateSize = 8 << 20
 
-// State requests the state of all contacts concurrently and returns the newest one. The
-// error has lhcode.PeerUnreachable if no contact returned any state.
-func (n *Node) State(ctx context.Context) (lhstore.Update, error) {
+// maxPeerRequests is how many other VMs are asked for changes that this VM may have missed.
+// Most of them have received what it lacks.
+const maxPeerRequests = 1
+
+// State requests the changes after a revision from other VMs of the data centre, or, if
+// after is 0, the complete state from all contacts, of which it returns the newest. The
+// error has lhcode.PeerUnreachable if none was obtained.
+func (n *Node) State(ctx context.Context, after uint64) (lhstore.Update, error) {
+	if after > 0 {
+		return n.fetchChanges(ctx, after)
+	}
 	results := make(chan stateResult)
 	for _, c := range n.contacts {
-		go func() { results <- n.fetchState(ctx, c) }()
+		go func() { results <- n.fetchState(ctx, c, 0) }()
 	}
 	var newest lhstore.Update
 	var lastErr error
@@ -42,45 +51,63 @@
 	return newest, lhcode.Newf(lhcode.PeerUnreachable, "none of %d contacts has any state", len(n.contacts))
 }
 
+// fetchChanges requests the changes after a revision from random VMs of the data centre
+// until one knows at least that revision.
+func (n *Node) fetchChanges(ctx context.Context, after uint64) (lhstore.Update, error) {
+	var lastErr error
+	for _, m := range n.order.Load().neighbours(maxPeerRequests, rand.Perm) {
+		r := n.fetchState(ctx, m.Control, after)
+		if r.err == nil && r.state.Revision >= after {
+			return r.state, nil
+		}
+		lastErr = r.err
+	}
+	if lastErr != nil {
+		return lhstore.Update{}, lhcode.Wrap(lhcode.PeerUnreachable, lastErr, "fetch changes from other VMs")
+	}
+	return lhstore.Update{}, lhcode.Newf(lhcode.PeerUnreachable, "no other VM knows revision %d", after)
+}
+
 // stateResult is the result of one call of fetchState.
 type stateResult struct {
 	state lhstore.Update
 	err   error
 }
 
-// fetchState requests the state of the VM at a control address.
-func (n *Node) fetchState(ctx context.Context, address netip.AddrPort) stateResult {
+// fetchState requests the changes after a revision from the VM at a control address.
+func (n *Node) fetchState(ctx context.Context, address netip.AddrPort, after uint64) stateResult {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := lhspreadv1.NewSpreadServiceClient(n.http, "http://"+address.String(), connect.WithReadMaxBytes(maxStateSize))
 	start := time.Now()
-	response, err := client.State(ctx, connect.NewRequest(&lhspreadv1.StateRequest{}))
+	response, err := client.State(ctx, connect.NewRequest(&lhspreadv1.StateRequest{After: after}))
 	if err != nil {
 		return stateResult{err: err}
 	}
 	m := response.Msg
 	state := lhstore.Update{
+		After:    m.GetAfter(),
 		Revision: m.GetRevision(),
 		Age:      time.Duration(m.GetAge())*time.Millisecond + time.Since(start),
 	}
 	return stateResult{state, state.Unpack(m.GetItems())}
 }
 
-// State returns the complete state known to this VM.
+// State returns the changes after a revision that this VM knows, or its complete state.
 func (h handler) State(
-	context.Context, *connect.Request[lhspreadv1.StateRequest],
+	_ context.Context, r *connect.Request[lhspreadv1.StateRequest],
 ) (*connect.Response[lhspreadv1.StateResponse], error) {
 	// Packing one state at a time bounds the memory used when many VMs start at once.
 	h.node.packing.Lock()
 	defer h.node.packing.Unlock()
-	state := h.node.state()
+	state := h.node.state(r.Msg.GetAfter())
 	packed, err := state.Pack()
 	if err != nil {
 		h.node.log.Error().Err(err).Uint64("at", state.Revision).Msg("failed to pack state")
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	h.node.log.Info().Uint64("at", state.Revision).Dur("age", state.Age).Int("items", len(state.Items)).Msg("state given")
+	h.node.log.Info().Uint64("after", state.After).Uint64("at", state.Revision).Dur("age", state.Age).Int("items", len(state.Items)).Msg("state given")
 	return connect.NewResponse(&lhspreadv1.StateResponse{
-		Revision: state.Revision, Age: uint32(state.Age.Milliseconds()), Items: packed,
+		After: state.After, Revision: state.Revision, Age: uint32(state.Age.Milliseconds()), Items: packed,
 	}), nil
 }
--- a/lhspread/state_test.go
+++ b/lhspread/state_test.go
@@ -17,8 +17,8 @@
 // TestState checks that the newest state is returned if some contacts have an older
 // state, no state or are down.
 func TestState(t *testing.T) {
-	stateAt := func(revision uint64) func() lhstore.Update {
-		return func() lhstore.Update {
+	stateAt := func(revision uint64) func(uint64) lhstore.Update {
+		return func(uint64) lhstore.Update {
 			n := lhstore.Update{Revision: revision, Age: 3 * time.Second}
 			for i := range revision {
 				n.Items = append(n.Items, lhstore.Item{Key: fmt.Sprint("key-", i), Data: []byte("x"), Revision: i + 1})
@@ -47,7 +47,7 @@
 				contacts = append(contacts, r.member.Control)
 			}
 			n := NewNode("new", contacts, nil, zerolog.Nop())
-			state, err := n.State(context.Background())
+			state, err := n.State(context.Background(), 0)
 			assert.Equal(t, state.Revision, c.want)
 			assert.Equal(t, len(state.Items), int(c.want))
 			if c.want == 0 {
@@ -56,7 +56,7 @@
 			}
 			assert.NilError(t, err)
 			assert.Assert(t, state.Age >= 3*time.Second)
-			assert.DeepEqual(t, state.Items, stateAt(c.want)().Items)
+			assert.DeepEqual(t, state.Items, stateAt(c.want)(0).Items)
 		})
 	}
 }
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -36,6 +36,9 @@
 	// Age is the time since the store was read.
 	Age   time.Duration
 	Items []Item
+	// Listed is set if the changes were found by a listing, which does not show that a
+	// key was both created and deleted between the two revisions.
+	Listed bool
 }
 
 // Pack returns the items encoded and compressed for transfer to another VM, or nil if
@@ -59,9 +62,9 @@
 type Feed interface {
 	// List returns a page of items in key order, starting after the given key.
 	List(ctx context.Context, after string) (Page, error)
-	// Changes waits for changes after a revision. It returns an empty page if there
-	// were none within wait, and an error with lhcode.HistoryLost if the store no
-	// longer has them.
+	// Changes waits for changes after a revision. It returns an empty page with the
+	// store's revision if there were none within wait, and an error with
+	// lhcode.HistoryLost if the store no longer has them.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 }
 
@@ -87,22 +90,29 @@
 	// MaxAge returns the age of the known state at which this VM reads the store
 	// itself.
 	MaxAge() time.Duration
+	// AsksPeers reports whether this VM asks another VM for changes before it reads the
+	// store.
+	AsksPeers() bool
 	// Publish sends an update read from the store to other VMs.
 	Publish(Update)
 	// Updates returns the channel of updates received from other VMs.
 	Updates() <-chan Update
-	// State returns the complete state known to another VM.
-	State(ctx context.Context) (Update, error)
+	// State returns the changes after a revision that another VM knows, or its complete
+	// state if after is 0 or that VM lacks some of the changes.
+	State(ctx context.Context, after uint64) (Update, error)
 }
 
 const (
-	// MirrorWait is how long a watch waits for changes. A connection that no longer
-	// delivers anything is detected only after this time.
-	MirrorWait = time.Second
+	// MirrorWait is how long a watch waits for changes. The first VM reads again
+	// within its own and this time, before the others consider their state outdated.
+	MirrorWait = 300 * time.Millisecond
 	// minRetryDelay is the delay after the first failed call. The delay doubles up to
 	// maxRetryFactor times Distributor.MaxAge, as failed calls load the store as well.
 	minRetryDelay  = 100 * time.Millisecond
 	maxRetryFactor = 1.5
+	// maxPeerAge is the age of another VM's state, as a fraction of Distributor.MaxAge, at
+	// which it replaces a read of the store.
+	maxPeerAge = 0.75
 	// maxInitialRetryDelay bounds the delay of a VM that has no state yet and thus can't
 	// serve traffic.
 	maxInitialRetryDelay = 200 * time.Millisecond
@@ -117,8 +127,9 @@
 
 // Mirror follows a store. It lists the store once and then watches for changes, or
 // receives them from other VMs. It lists again if the store has dropped its history or a
-// watch returns nothing: a watch may miss changes while the store drops history, and
-// entries of the store change so often that an empty result is suspect.
+// watch returns nothing although the store's revision has increased: a watch may miss
+// changes while the store drops history. If it misses an update from another VM, it
+// requests the changes from a third one and reads the store only if that fails.
 type Mirror struct {
 	// Feed is the store.
 	Feed Feed
@@ -130,13 +141,18 @@
 	state    mirrorState
 }
 
-// State returns the complete known state of the store. Its revision is 0 if nothing is
-// known.
-func (m *Mirror) State() Update {
-	u := m.state.snapshot(time.Now())
+// State returns the known changes of the store after a revision, or the complete known
+// state if after is 0 or not all of these changes are known. Its revision is 0 if nothing
+// is known.
+func (m *Mirror) State(after uint64) Update {
+	u := m.state.snapshot(time.Now(), after)
 	held := u.Items[:0]
 	for _, it := range u.Items {
-		var ok bool
+		ok := it.Deleted
+		if ok {
+			held = append(held, it)
+			continue
+		}
 		if it.Data, ok = m.Consumer.Data(it.Key); ok {
 			held = append(held, it)
 		}
@@ -164,11 +180,11 @@
 	// listed is set while changes can be followed from the last listing or from the
 	// state of another VM; otherwise the next read lists the store.
 	listed bool
-	// nextRead is when the store is read next. missedUpdate is set if the read is due
-	// because an update from another VM was missed: the other VMs then know already
-	// what is read.
+	// nextRead is when the store is read next. missedUpdate is the revision up to which
+	// other VMs have changes that were missed here, or 0: they know already what is read
+	// then.
 	nextRead     time.Time
-	missedUpdate bool
+	missedUpdate uint64
 	// unreachable is set while calls to the store fail; called once any call was made.
 	called, unreachable bool
 	// retryDelay is the delay after the next failure, and listTimeout the timeout of the
@@ -190,6 +206,9 @@
 	case u := <-l.Distributor.Updates():
 		l.receive(u)
 	case <-t.C:
+		if l.listed && (l.missedUpdate > 0 || l.Distributor.AsksPeers()) && l.loadPeerState(ctx) {
+			return
+		}
 		l.read(ctx)
 		if l.state.revision == 0 {
 			l.loadPeerState(ctx)
@@ -197,31 +216,49 @@
 	}
 }
 
-// loadPeerState initializes the mirror from the state of another VM.
-func (l *mirrorLoop) loadPeerState(ctx context.Context) {
-	u, err := l.Distributor.State(ctx)
-	if err != nil {
-		l.Log.Debug().Err(err).Msg("no state available from other VMs")
-		return
+// loadPeerState obtains the changes that are missing here from another VM, or its
+// complete state if nothing is known. It reports whether the state is recent now.
+func (l *mirrorLoop) loadPeerState(ctx context.Context) bool {
+	known := l.state.revision
+	u, err := l.Distributor.State(ctx, known)
+	if err != nil || u.Revision < l.missedUpdate || u.Revision < known || u.After > known {
+		l.Log.Debug().Err(err).Uint64("known", known).Uint64("at", u.Revision).Msg("no state available from other VMs")
+		return false
 	}
-	l.Log.Info().Uint64("at", u.Revision).Dur("age", u.Age).Int("items", len(u.Items)).Msg("state of another VM taken")
-	l.listed = true
+	l.Log.Info().Uint64("known", known).Uint64("after", u.After).Uint64("at", u.Revision).Dur("age", u.Age).
+		Int("items", len(u.Items)).Msg("state of another VM taken")
+	items := u.Items
+	if u.After == 0 {
+		items = append(items, l.state.deletions(items, u.Revision)...)
+		l.state.startHistory(u.Revision)
+	}
+	l.listed, l.missedUpdate = true, 0
 	l.advance(u.Revision, u.Age)
-	l.apply(u.Items)
+	l.apply(items)
+	return u.Age < time.Duration(maxPeerAge*float64(l.Distributor.MaxAge()))
 }
 
-// receive applies an update from another VM. If the update starts after the revision
-// known here, changes are missing in between and the store is read at once.
+// receive applies an update from another VM. If changes between the revision known here
+// and that of the update are not in the update, they are obtained at once.
 func (l *mirrorLoop) receive(u Update) {
 	if !l.listed {
 		return
 	}
-	if u.After > l.state.revision {
-		l.Log.Debug().Uint64("after", u.After).Uint64("known", l.state.revision).Msg("update missed; reading the store")
-		l.nextRead, l.missedUpdate = time.Now(), true
+	known := l.state.revision
+	// A listing hides deletions of keys that are known here from changes after u.After.
+	hidden := u.Listed && u.After < l.state.newest && known < u.Revision
+	if hidden || u.After > known {
+		l.Log.Debug().Uint64("after", u.After).Uint64("known", known).Bool("listed", u.Listed).Msg("update missed")
+		l.nextRead, l.missedUpdate = time.Now(), max(l.missedUpdate, u.Revision)
+		if hidden {
+			l.apply(u.Items)
+		}
 		return
 	}
-	l.advance(max(l.state.revision, u.Revision), u.Age)
+	if u.Listed {
+		l.state.startHistory(u.Revision)
+	}
+	l.advance(max(known, u.Revision), u.Age)
 	l.apply(u.Items)
 }
 
@@ -237,8 +274,8 @@
 
 // read performs one listing or watch, applies the result and sends it to other VMs.
 func (l *mirrorLoop) read(ctx context.Context) {
-	start, before, relisted := time.Now(), l.state.revision, !l.listed
-	items, revision, err := l.fetch(ctx)
+	before, relisted := l.state.revision, !l.listed
+	result, err := l.fetch(ctx)
 	if lhcode.Of(err) == lhcode.HistoryLost {
 		l.Log.Info().Uint64("after", before).Msg("store has dropped its history; listing again")
 		l.listed = false
@@ -250,25 +287,30 @@
 		l.retryDelay = min(2*l.retryDelay, l.maxRetryDelay())
 		return
 	}
-	missed := l.missedUpdate
-	l.retryDelay, l.missedUpdate = minRetryDelay, false
-	if revision == 0 {
-		// An empty watch does not prove that nothing has changed; list the store.
+	missed := l.missedUpdate > 0
+	l.retryDelay, l.missedUpdate = minRetryDelay, 0
+	if result.revision == 0 {
+		l.Log.Debug().Uint64("known", before).Msg("watch lacks changes; listing the store")
 		l.listed, l.nextRead = false, time.Now()
 		return
 	}
-	l.nextRead = start
-	l.advance(revision, time.Since(start))
-	changed := l.apply(items)
+	if relisted {
+		l.state.startHistory(result.revision)
+	}
+	l.nextRead = result.asOf
+	l.advance(result.revision, time.Since(result.asOf))
+	changed := l.apply(result.items)
 	if before == 0 || missed {
 		return
 	}
 	if relisted {
 		// What is new here depends on what this VM has missed; the other VMs may lack
 		// more. Send all changes since the previous revision.
-		changed = changedAfter(items, before)
+		changed = changedAfter(result.items, before)
 	}
-	l.Distributor.Publish(Update{After: before, Revision: revision, Items: lastPerKey(changed)})
+	l.Distributor.Publish(Update{
+		After: before, Revision: result.revision, Age: time.Since(result.asOf), Items: lastPerKey(changed), Listed: relisted,
+	})
 }
 
 // maxRetryDelay returns the longest delay between failing calls.
@@ -279,23 +321,40 @@
 	return time.Duration(maxRetryFactor * float64(l.Distributor.MaxAge()))
 }
 
-// fetch returns the changes of the store and the revision up to which they are complete,
-// or revision 0 if a watch returned nothing.
-func (l *mirrorLoop) fetch(ctx context.Context) ([]Item, uint64, error) {
-	if l.state.revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, l.listTimeout)
-		defer cancel()
-		l.listTimeout = min(2*l.listTimeout, maxInitialListTimeout)
-		return l.list(ctx)
-	}
-	if !l.listed {
-		return l.list(ctx)
+// readResult is what a read of the store returned: changes, and the revision up to which
+// they were complete at some time. The revision is 0 if the store has to be listed.
+type readResult struct {
+	items    []Item
+	revision uint64
+	asOf     time.Time
+}
+
+// fetch lists or watches the store.
+func (l *mirrorLoop) fetch(ctx context.Context) (readResult, error) {
+	start := time.Now()
+	if !l.listed || l.state.revision == 0 {
+		if l.state.revision == 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, l.listTimeout)
+			defer cancel()
+			l.listTimeout = min(2*l.listTimeout, maxInitialListTimeout)
+		}
+		items, revision, err := l.list(ctx)
+		return readResult{items, revision, start}, err
 	}
 	page, err := l.Feed.Changes(ctx, l.state.revision, MirrorWait)
-	if err != nil || len(page.Items) == 0 {
-		return nil, 0, err
+	switch {
+	case err != nil:
+		return readResult{}, err
+	case len(page.Items) > 0:
+		return readResult{page.Items, max(l.state.revision, page.Revision), start}, nil
+	case page.Revision != l.state.revision:
+		return readResult{}, nil
+	case time.Since(start) >= MirrorWait:
+		// The store has responded at the end of the wait.
+		start = start.Add(MirrorWait)
 	}
-	return page.Items, max(l.state.revision, page.Revision), nil
+	return readResult{nil, page.Revision, start}, nil
 }
 
 // reportReachability tells the consumer if the store became reachable or unreachable.
--- a/lhstore/mirror_state.go
+++ b/lhstore/mirror_state.go
@@ -20,6 +20,12 @@
 	// asOf is when the store had that revision.
 	revision uint64
 	asOf     time.Time
+	// newest is the highest revision in keys. It exceeds revision if changes in between
+	// may be missing.
+	newest uint64
+	// historyStart is the revision after which all deletions are in keys; at most
+	// revision once that is set.
+	historyStart uint64
 }
 
 // keyState is the last change of a key. deletedAt is zero unless the change deleted it.
@@ -53,15 +59,29 @@
 			k.deletedAt = now
 		}
 		s.keys[it.Key] = k
+		s.newest = max(s.newest, it.Revision)
 		newer = append(newer, it)
 	}
 	maps.DeleteFunc(s.keys, func(_ string, k keyState) bool {
-		return !k.deletedAt.IsZero() && now.Sub(k.deletedAt) > tombstoneTTL
+		expired := !k.deletedAt.IsZero() && now.Sub(k.deletedAt) > tombstoneTTL
+		if expired {
+			s.historyStart = max(s.historyStart, k.revision)
+		}
+		return expired
 	})
 	return newer
 }
 
-// deletions returns a deletion for each known key that a full listing does not contain.
+// startHistory records that the state results from a full listing at a revision, which
+// does not show which keys were deleted before.
+func (s *mirrorState) startHistory(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.historyStart = max(s.historyStart, revision)
+}
+
+// deletions returns a deletion for each key known by the revision of a full listing that
+// the listing does not contain.
 func (s *mirrorState) deletions(listed []Item, revision uint64) []Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,22 +91,27 @@
 	}
 	var deleted []Item
 	for key, k := range s.keys {
-		if !present[key] && k.deletedAt.IsZero() {
+		if !present[key] && k.deletedAt.IsZero() && k.revision <= revision {
 			deleted = append(deleted, Item{Key: key, Revision: max(revision, k.revision+1), Deleted: true})
 		}
 	}
 	return deleted
 }
 
-// snapshot returns the existing keys without their data, with the revision of the store
-// up to which they are known and its age.
-func (s *mirrorState) snapshot(now time.Time) Update {
+// snapshot returns the keys that changed after a revision without their data, with the
+// revision of the store up to which they are known and its age. If not all deletions since
+// then are known, it returns all existing keys, and its After is 0.
+func (s *mirrorState) snapshot(now time.Time, after uint64) Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Update{Revision: s.revision, Age: now.Sub(s.asOf)}
+	if after < s.historyStart || after > s.revision {
+		after = 0
+	}
+	u := Update{After: after, Revision: s.revision, Age: now.Sub(s.asOf)}
 	for key, k := range s.keys {
-		if k.deletedAt.IsZero() {
-			u.Items = append(u.Items, Item{Key: key, Revision: k.revision})
+		deleted := !k.deletedAt.IsZero()
+		if k.revision > after && (after > 0 || !deleted) {
+			u.Items = append(u.Items, Item{Key: key, Revision: k.revision, Deleted: deleted})
 		}
 	}
 	return u
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -114,15 +114,16 @@
 func (v *replica) Refreshed(r uint64, a time.Duration)  { v.revision, v.age = r, a }
 func (v *replica) Data(key string) ([]byte, bool)       { d, ok := v.values[key]; return []byte(d), ok }
 func (v *replica) MaxAge() time.Duration                { return time.Second }
+func (v *replica) AsksPeers() bool                      { return len(v.peers) > 0 }
 func (v *replica) Publish(u Update)                     { v.sent = append(v.sent, u) }
 func (v *replica) Updates() <-chan Update               { return v.received }
 
-// State returns the newest state of the peers, packed and unpacked again as on its way
+// State returns the newest changes or state of the peers, packed and unpacked again as on its way
 // to another process.
-func (v *replica) State(context.Context) (Update, error) {
+func (v *replica) State(_ context.Context, after uint64) (Update, error) {
 	var newest Update
 	for _, p := range v.peers {
-		if u := p.Mirror.State(); u.Revision > newest.Revision {
+		if u := p.Mirror.State(after); u.Revision > newest.Revision {
 			newest = u
 		}
 	}
@@ -285,38 +286,54 @@
 }
 
 // TestMirrorsConverge checks that after random changes, outages, losses of history,
-// changes of the reader and lost updates all VMs end with the contents of the store.
+// changes of the reader, lost updates and requests to other VMs all VMs end with the
+// contents of the store, whether they read it themselves or ask a VM that has.
 func TestMirrorsConverge(t *testing.T) {
-	rapid.Check(t, func(r *rapid.T) {
-		l := newMemoryFeed()
-		var replicas []*replica
-		for range 3 {
-			replicas = append(replicas, newReplica(l))
-			replicas[len(replicas)-1].readAll()
-		}
-		pick := rapid.IntRange(0, len(replicas)-1)
-		for range rapid.IntRange(1, 40).Draw(r, "steps") {
-			switch rapid.IntRange(0, 5).Draw(r, "step") {
-			case 0, 1:
-				l.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "key"), rapid.SampledFrom([]string{"", "1", "2"}).Draw(r, "value"))
-			case 2:
-				l.dropHistory()
-			case 3, 4:
-				reader := pick.Draw(r, "reader")
-				replicas[reader].readAll()
-				deliverUpdates(r, replicas, reader)
-			case 5:
-				l.failing = !l.failing
-			}
+	for _, fromPeer := range []bool{false, true} {
+		t.Run(fmt.Sprint("from peer ", fromPeer), func(t *testing.T) {
+			rapid.Check(t, func(r *rapid.T) { checkConvergence(r, fromPeer) })
+		})
+	}
+}
+
+func checkConvergence(r *rapid.T, fromPeer bool) {
+	l := newMemoryFeed()
+	var replicas []*replica
+	for range 3 {
+		replicas = append(replicas, newReplica(l))
+		replicas[len(replicas)-1].readAll()
+	}
+	pick := rapid.IntRange(0, len(replicas)-1)
+	for range rapid.IntRange(1, 40).Draw(r, "steps") {
+		switch rapid.IntRange(0, 6).Draw(r, "step") {
+		case 0, 1:
+			l.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "key"), rapid.SampledFrom([]string{"", "1", "2"}).Draw(r, "value"))
+		case 2:
+			l.dropHistory()
+		case 3, 4:
+			reader := pick.Draw(r, "reader")
+			replicas[reader].readAll()
+			deliverUpdates(r, replicas, reader)
+		case 5:
+			l.failing = !l.failing
+		case 6:
+			asking := replicas[pick.Draw(r, "asking")]
+			asking.peers = []*replica{replicas[pick.Draw(r, "asked")]}
+			asking.loadPeerState(context.Background())
 		}
-		l.failing = false
-		for i, v := range replicas {
+	}
+	l.failing = false
+	l.write("d", "1")
+	for i, v := range replicas {
+		if v.peers = replicas[:1]; i == 0 || !fromPeer {
 			v.readAll()
-			if !maps.Equal(v.values, l.values()) {
-				r.Fatalf("VM %d has %v, the store holds %v", i, v.values, l.values())
-			}
+		} else {
+			v.loadPeerState(context.Background())
 		}
-	})
+		if !maps.Equal(v.values, l.values()) {
+			r.Fatalf("VM %d has %v, the store holds %v", i, v.values, l.values())
+		}
+	}
 }
 
 // deliverUpdates delivers the last updates of a reader to a random part of the others.
@@ -557,3 +574,104 @@
 	v.read(context.Background())
 	assert.DeepEqual(t, v.values, l.values())
 }
+
+// TestMirrorEmptyWatch checks that a watch that returns nothing proves that nothing has
+// changed if the store's revision is the known one, and leads to a listing otherwise.
+func TestMirrorEmptyWatch(t *testing.T) {
+	l := newMemoryFeed()
+	l.write("a", "1")
+	v := newReplica(l)
+	v.readAll()
+	calls := l.calls
+	v.read(context.Background())
+	assert.Equal(t, l.calls, calls+1)
+	assert.Assert(t, v.listed)
+	assert.Equal(t, len(v.sent), 1, "the other VMs are told that their state is recent")
+	assert.Equal(t, v.sent[0].Revision, l.revision)
+	l.muted = true
+	l.write("a", "2")
+	v.read(context.Background())
+	assert.Assert(t, !v.listed)
+	v.read(context.Background())
+	assert.DeepEqual(t, v.values, l.values())
+}
+
+// TestMissedUpdateFromPeer checks that a VM that has missed an update while it can't reach
+// the store obtains the changes from another VM, and does not stay behind.
+func TestMissedUpdateFromPeer(t *testing.T) {
+	cases := []struct {
+		name string
+		// restarted is set if the other VM does not know which keys were deleted.
+		restarted bool
+	}{
+		{"changes", false},
+		{"complete state", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newMemoryFeed()
+			l.write("a", "1")
+			l.write("b", "1")
+			reader, v := newReplica(l), newReplica(l)
+			reader.readAll()
+			v.readAll()
+			l.write("a", "")
+			l.write("c", "2")
+			reader.readAll()
+			l.write("d", "3")
+			reader.readAll()
+			missed := reader.sent[1]
+			if c.restarted {
+				reader = newReplica(l)
+				reader.readAll()
+			}
+			v.peers = []*replica{reader}
+			l.failing = true
+			v.receive(missed)
+			v.step(context.Background())
+			assert.DeepEqual(t, v.values, l.values())
+			assert.Equal(t, v.revision, l.revision)
+			assert.Equal(t, v.missedUpdate, uint64(0))
+			assert.DeepEqual(t, v.reachable, []bool{true})
+		})
+	}
+}
+
+// TestPeerStateBehind checks that a VM keeps what it knows if the VM that it asks is behind,
+// and reads the store instead.
+func TestPeerStateBehind(t *testing.T) {
+	l := newMemoryFeed()
+	l.write("a", "1")
+	behind, v := newReplica(l), newReplica(l)
+	behind.readAll()
+	l.write("a", "")
+	l.write("b", "2")
+	v.readAll()
+	v.peers = []*replica{behind}
+	l.write("c", "3")
+	v.nextRead = time.Now()
+	v.step(context.Background())
+	assert.DeepEqual(t, v.values, l.values())
+}
+
+// TestListingHidesDeletion checks that a VM does not keep a key that was created and
+// deleted between two reads of another VM, whose listing shows neither.
+func TestListingHidesDeletion(t *testing.T) {
+	l := newMemoryFeed()
+	l.write("a", "1")
+	v, lister, third := newReplica(l), newReplica(l), newReplica(l)
+	for _, r := range []*replica{v, lister, third} {
+		r.readAll()
+	}
+	l.write("b", "1")
+	v.readAll()
+	l.write("b", "")
+	l.dropHistory()
+	lister.readAll()
+	third.receive(lister.sent[0])
+	v.peers = []*replica{third}
+	l.failing = true
+	v.receive(lister.sent[0])
+	v.step(context.Background())
+	assert.DeepEqual(t, v.values, l.values())
+}
