lhstore, lhentry: keep the entries of VMs without leases

Cause: each VM took a lease, wrote its entry under it and renewed it every 10 s, and removed it at a planned stop; so each start cost two writes, and an outage in which leases ran out cost two for each VM.

Change: an entry has no lease and outlives its VM. A VM writes it only if the known state of the store lacks it; a restart under the same name and address writes nothing. A VM that has failed to reach another for 30 s removes its entry, if it has not changed meanwhile; a VM whose entry was removed writes it again.

--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -52,7 +52,7 @@
 // Store is the platform's key-value service.
 type Store interface {
 	lhstore.Feed
-	lhstore.Lessor
+	lhstore.Registry
 }
 
 // Dependencies holds the external dependencies of a Marked process.
@@ -109,7 +109,9 @@
 	}
 	m.settings.Store(&s)
 	m.mirror = &lhstore.Mirror{Feed: deps.Store, Consumer: (*storeConsumer)(m), Log: log}
-	m.spread = lhspread.NewNode(s.Name, s.Contacts, m.mirror.State, log)
+	m.spread = lhspread.NewNode(lhspread.NodeSettings{
+		Self: s.Name, Contacts: s.Contacts, State: m.mirror.State, Absent: m.removeEntry, Log: log,
+	})
 	m.mirror.Distributor = m.spread
 	var err error
 	if m.socket, err = lhsock.Open(s.Data, 1); err != nil {
@@ -201,7 +203,8 @@
 // register keeps the VM's entry in the store until ctx is done.
 func (m *Marked) register(ctx context.Context) error {
 	s := m.settings.Load()
-	entry, err := json.Marshal(lhspread.Member{Name: s.Name, DataCentre: s.DataCentre, Control: m.Control()})
+	self := lhspread.Member{Name: s.Name, DataCentre: s.DataCentre, Control: m.Control()}
+	entry, err := json.Marshal(self)
 	if err != nil {
 		return lhcode.Wrap(lhcode.Internal, err, "encode the VM's entry")
 	}
@@ -209,10 +212,32 @@
 		Store: m.deps.Store,
 		Key:   m.deps.Codec.MemberKey(s.Name),
 		Data:  entry,
-		Log:   m.log,
+		Listed: func() (listed, known bool) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return m.members[s.Name] == self, m.counters.storeRevision.Load() > 0
+		},
+		Log: m.log,
 	}.Run(ctx)
 }
 
+// removeTimeout bounds the removal of the entry of a VM that is gone.
+const removeTimeout = 500 * time.Millisecond
+
+// removeEntry removes the entry of a VM that is gone. If another VM does so as well, or the
+// VM has come back and written its entry again, the store rejects the call.
+func (m *Marked) removeEntry(gone lhspread.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+	defer cancel()
+	key := m.deps.Codec.MemberKey(gone.Name)
+	at := m.mirror.KeyRevision(key)
+	if err := m.deps.Store.Remove(ctx, key, at); err != nil {
+		m.log.Debug().Err(err).Str("peer", gone.Name).Uint64("at", at).Msg("failed to remove entry of an absent VM")
+		return
+	}
+	m.log.Info().Str("peer", gone.Name).Str("datacentre", gone.DataCentre).Uint64("at", at).Msg("entry of an absent VM removed")
+}
+
 // runSpread distributes changes of the store to other VMs until ctx is done.
 func (m *Marked) runSpread(ctx context.Context) error { return <-m.spread.Run(ctx) }
 
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -25,9 +25,6 @@
 	callTimeout = 800 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept open.
 	idleTimeout = 30 * time.Second
-	// skipTime is how long a VM that could not be reached is skipped. It reads the store
-	// itself within that time.
-	skipTime = 2 * time.Second
 	// queueLength is the capacity of the queues of incoming and outgoing updates. Updates
 	// that don't fit are dropped; the VMs that lack them read the store instead.
 	queueLength = 16
@@ -49,8 +46,11 @@
 	state    func(after uint64) lhstore.Update
 	// packing is held while the state is collected and packed for another VM.
 	packing sync.Mutex
-	// skipUntil holds, by name, until when a VM that could not be reached is skipped.
-	skipUntil sync.Map
+	// absent is called, from the goroutine of a call, while a VM has been unreachable
+	// for AbsentTimeout.
+	absent func(Member)
+	// failing holds the VMs whose last call has failed.
+	failing failures
 	// incoming holds updates received from other VMs, outgoing those to be forwarded.
 	incoming chan lhstore.Update
 	outgoing chan delivery
@@ -69,14 +69,27 @@
 	targets []treeNode
 }
 
+// NodeSettings are the properties of a Node.
+type NodeSettings struct {
+	// Self is the name of the VM.
+	Self string
+	// Contacts are the control addresses of VMs that may have state.
+	Contacts []netip.AddrPort
+	// State returns the changes after a revision known to this VM, or its complete state.
+	// It answers the queries of other VMs.
+	State func(after uint64) lhstore.Update
+	// Absent is called while a VM has been unreachable for lhstore.AbsentTimeout.
+	Absent func(Member)
+	Log    zerolog.Logger
+}
+
 // NewNode returns the Node of a VM. Until SetMembers is called it knows no other VMs but
-// its contacts, which State queries. It answers such queries of others with the result of
-// state.
-func NewNode(self string, contacts []netip.AddrPort, state func(after uint64) lhstore.Update, log zerolog.Logger) *Node {
+// its contacts.
+func NewNode(s NodeSettings) *Node {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	n := &Node{
-		self: self,
+		self: s.Self,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			Protocols:           protocols,
@@ -84,13 +97,14 @@
 			MaxIdleConnsPerHost: 1,
 			DisableCompression:  true,
 		}},
-		log:      log,
-		contacts: contacts,
-		state:    state,
+		log:      s.Log,
+		contacts: s.Contacts,
+		state:    s.State,
+		absent:   s.Absent,
 		incoming: make(chan lhstore.Update, queueLength),
 		outgoing: make(chan delivery, queueLength),
 	}
-	n.order.Store(NewOrder(self, nil))
+	n.order.Store(NewOrder(s.Self, nil))
 	return n
 }
 
@@ -98,7 +112,7 @@
 func (n *Node) SetMembers(members []Member) {
 	before, after := n.order.Load(), NewOrder(n.self, members)
 	n.order.Store(after)
-	n.skipUntil.Clear()
+	n.failing.retain(members)
 	if before.IsReader() != after.IsReader() {
 		n.log.Info().Bool("first", after.IsReader()).Int("members", after.Size()).Msg("reader of the store")
 	}
@@ -200,7 +214,7 @@
 		// This VM has the update already, but its children need it.
 		return false
 	}
-	if until, ok := n.skipUntil.Load(m.Name); ok && time.Now().Before(until.(time.Time)) {
+	if n.failing.skipped(m, time.Now()) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -213,10 +227,14 @@
 	}
 	if _, err := client.Tell(ctx, connect.NewRequest(request)); err != nil {
 		n.failures.Add(1)
-		n.skipUntil.Store(m.Name, time.Now().Add(skipTime))
-		n.log.Debug().Err(err).Str("peer", m.Name).Uint64("at", d.revision).Msg("failed to deliver update")
+		absence := n.failing.record(m, time.Now())
+		n.log.Debug().Err(err).Str("peer", m.Name).Uint64("at", d.revision).Dur("absent", absence).Msg("failed to deliver update")
+		if absence >= lhstore.AbsentTimeout {
+			n.absent(m)
+		}
 		return false
 	}
+	n.failing.clear(m)
 	return true
 }
 
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -161,6 +161,10 @@
 	return u
 }
 
+// KeyRevision returns the revision of the last known change of a key, or 0 if the key is not
+// known.
+func (m *Mirror) KeyRevision(key string) uint64 { return m.state.keyRevision(key) }
+
 // Run follows the store until ctx ends. The returned channel then receives nil.
 func (m *Mirror) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
--- a/lhstore/mirror_state.go
+++ b/lhstore/mirror_state.go
@@ -72,6 +72,13 @@
 	return newer
 }
 
+// keyRevision returns the revision of the last known change of a key.
+func (s *mirrorState) keyRevision(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keys[key].revision
+}
+
 // startHistory records that the state results from a full listing at a revision, which
 // does not show which keys were deleted before.
 func (s *mirrorState) startHistory(revision uint64) {
