lhmark, lhspread: share observations of silent servers within a data centre

Cause: each VM learned silent servers for itself. A model of callers, VMs and servers in virtual time shows both: with 195 VMs and a third of the servers silent 0.089 of the feeds fail and 0.143 of the orders are late, 0.052 and 0.008 with 7.

Ruled out: avoiding a server for 8 s instead of 4 (no change in the model). Slow servers cost the same with any number of VMs.

Change: VMs send what they have newly observed of a server to the first VM of their data centre, which sends it along the tree. A server that leaves SYNs and requests unanswered, three in all, is silent; a retransmitted request that may be repeated is answered by a reset there, so that its caller repeats it elsewhere. A VM that no server answers reports and resets nothing.

Measured: TestFleetFaults, 195 VMs, alone and shared: feeds failed 0.0088 and 0.0014 (1 of 20 silent), 0.089 and 0.013 (1 of 3); orders late 0.143 and 0.027.

--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -176,7 +176,7 @@
 	m.log.Info().Stringer("data", m.Data()).Stringer("ready", m.Ready()).Stringer("ops", m.Ops()).
 		Stringer("control", m.Control()).Str("datacentre", s.DataCentre).Str("platform", s.Platform).Msg("started")
 	return startTasks(ctx, results,
-		m.runMirror, m.forward, m.serveReady, m.serveOps, m.serveControl, m.register, m.runSpread, m.housekeep, m.reload)
+		m.runMirror, m.forward, m.serveReady, m.serveOps, m.serveControl, m.register, m.runSpread, m.observe, m.housekeep, m.reload)
 }
 
 const (
--- a/lhentry/marked_forward.go
+++ b/lhentry/marked_forward.go
@@ -40,6 +40,9 @@
 	ev.ID = lhflow.Seed{}.ID(ev.Key)
 	d := m.engine.Handle(&ev)
 	m.countDecision(&d)
+	if d.Observed.Evidence != 0 {
+		m.share(d.Observed)
+	}
 	switch d.Action {
 	case lhflow.ToServer:
 		m.sendBuf = m.deps.Codec.AppendToServer(m.sendBuf[:0], datagram, d.To.TargetID, d.Server)
--- a/lhmark/choose_test.go
+++ b/lhmark/choose_test.go
@@ -44,7 +44,7 @@
 		}
 	}
 	assert.Equal(t, probes, 1)
-	stats.recordAnswered()
+	stats.recordAnswered(v.now)
 	again := 0
 	for port := uint16(200); port < 220; port++ {
 		if v.open(port) == 1 {
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -41,6 +41,9 @@
 	// row.
 	Unresponsive *Server
 	Failures     int
+	// Observed is what the packet shows of a server that other VMs should know, if its
+	// Evidence is set.
+	Observed Observation
 	// Recovered is set if the server answers again after leaving SYNs unanswered.
 	Recovered bool
 	// Latency is how long the server took to answer, for a packet that acknowledges
@@ -61,6 +64,8 @@
 	// stats holds a *serverStats for each server number.
 	stats     sync.Map
 	admission admission
+	// lastAnswer is when a server last answered a SYN or a request, in nanoseconds.
+	lastAnswer atomic.Int64
 }
 
 // NewEngine returns an Engine with an empty table for a VM in a data centre.
@@ -202,7 +207,7 @@
 func (e *Engine) retryOtherServer(ev *lhflow.Event, t *Table, route *Route, r *record) Decision {
 	stats := e.statsByNumber(r.server)
 	unresponsive, _ := t.Server(r.server)
-	failures := stats.recordUnanswered(ev.Now)
+	failures, isolated := stats.recordUnanswered(ev.Now), e.isolatedSince(r.sentAt)
 	var chosen *candidate
 	if r.attempts < maxSYNServers {
 		chosen = e.chooseServer(ev.Now, ev.ID, t.serving[route.pickService(ev.ID)], r.tried[:r.attempts])
@@ -213,6 +218,9 @@
 	}
 	d := e.resendSYN(t, route, r)
 	d.Unresponsive, d.Failures = unresponsive, failures
+	if unresponsive != nil && !isolated {
+		d.Observed = Observation{Server: unresponsive.Number, Evidence: UnansweredSYN, Failures: failures, At: ev.Now}
+	}
 	if chosen != nil {
 		d.Cost = chosen.cost
 	}
@@ -256,6 +264,9 @@
 		d.Verdict = lhflow.Verdict{Reason: lhflow.ReasonRefused}
 		return d
 	}
+	if known && d.Action == lhflow.ToServer && r.isRetransmission(ev) {
+		e.handleRetransmittedRequest(ev, r, &d)
+	}
 	recorded := known
 	if !known && d.Action == lhflow.ToServer && !ev.Flags.Has(lhflow.RST) && e.Len() < e.limits.Flows {
 		s.put(ev.Key, r)
@@ -272,6 +283,27 @@
 	return d
 }
 
+// handleRetransmittedRequest decides on a request that its server has not answered. If the
+// server is silent and the request may be repeated, its flow is reset, so that the caller
+// repeats the request at another server instead of waiting until its deadline.
+func (e *Engine) handleRetransmittedRequest(ev *lhflow.Event, r *record, d *Decision) {
+	if e.isolatedSince(r.sentAt) {
+		return
+	}
+	stats := e.statsOf(d.To)
+	if !r.unanswered && stats.recordUnansweredRequest() {
+		r.unanswered = true
+		d.Observed = Observation{Server: d.To.Number, Evidence: UnansweredRequest, At: ev.Now}
+	}
+	if d.Route != nil && d.Route.Idempotent && stats.silent() {
+		d.Verdict = lhflow.Verdict{Action: lhflow.Reset, Reason: lhflow.ReasonSilent}
+	}
+}
+
+// isolatedSince reports whether no server has answered this VM since a time. A server that
+// does not answer then may be out of reach of this VM only.
+func (e *Engine) isolatedSince(at time.Duration) bool { return time.Duration(e.lastAnswer.Load()) < at }
+
 // assignServer assigns the flow to one of the servers that received its SYN.
 func (e *Engine) assignServer(r *record, number uint32) {
 	if number == r.server {
@@ -291,17 +323,24 @@
 		r.nextSeq, r.requestAck = ev.Seq, ev.Ack
 		d.Opened, d.Latency = true, ev.Now-r.sentAt
 		e.clearInFlight(stats, r)
-		d.Recovered = stats.recordAnswered()
+		e.lastAnswer.Store(int64(ev.Now))
+		if d.Recovered = stats.recordAnswered(ev.Now); d.Recovered {
+			d.Observed = Observation{Server: r.server, Evidence: AnsweredSYN, At: ev.Now}
+		}
 	}
 	if r.inFlight && int32(ev.Ack-r.requestAck) > 0 {
 		d.Served, d.Latency = true, ev.Now-r.sentAt
 		e.clearInFlight(stats, r)
+		e.lastAnswer.Store(int64(ev.Now))
+		if stats.recordServed(ev.Now) {
+			d.Observed = Observation{Server: r.server, Evidence: AnsweredRequest, At: ev.Now}
+		}
 		e.admission.recordLatency(ev.Now, d.Route, d.To.Service, d.Latency)
 	}
 	if end := ev.Seq + uint32(ev.Data); ev.Data > 0 && int32(end-r.nextSeq) > 0 {
 		r.nextSeq = end
 		if !r.inFlight {
-			r.inFlight, r.sentAt, r.requestAck = true, ev.Now, ev.Ack
+			r.inFlight, r.unanswered, r.sentAt, r.requestAck = true, false, ev.Now, ev.Ack
 			stats.adjust(0, 1)
 		}
 	}
--- /dev/null
+++ b/lhmark/fleet_test.go
@@ -0,0 +1,454 @@
+package lhmark
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+	"github.com/laburnumhollow/laburnumhollow/lhflow"
+)
+
+// The fleet tests play one load against the same servers with different numbers of VMs:
+// feeds on flows that stay open, which may be repeated, and orders with a flow each, which
+// may not. Some servers change in the middle. Everything happens in virtual time.
+const (
+	fleetDataCentres = 5
+	fleetServers     = 235
+	fleetFeedRate    = 1070.0
+	fleetOrderRate   = 305.0
+	// fleetUsers is the number of callers that keep a feed open.
+	fleetUsers = 2900
+	feedWork   = 30 * time.Millisecond
+	orderWork  = 39 * time.Millisecond
+	// fleetLatency is the time that a packet travels in one direction.
+	fleetLatency = 4 * time.Millisecond
+	// shareLatency is the time until an observation reaches the VMs of its data centre.
+	shareLatency = 300 * time.Millisecond
+	// entryLifetime is how long a silent server keeps its entry in the store, and until all
+	// VMs know that it is gone.
+	entryLifetime = 4 * time.Second
+	faultAt       = 3 * time.Second
+	fleetEnd      = 13 * time.Second
+)
+
+// workKind is a kind of request.
+type workKind struct {
+	name          string
+	address       netip.AddrPort
+	work          time.Duration
+	aim, deadline time.Duration
+	idempotent    bool
+}
+
+var (
+	feedKind  = &workKind{"feed", service, feedWork, 400 * time.Millisecond, 2500 * time.Millisecond, true}
+	orderKind = &workKind{"order", orders, orderWork, 500 * time.Millisecond, 3 * time.Second, false}
+)
+
+// fleetServer is a backend server with two slots and a queue.
+type fleetServer struct {
+	number  uint32
+	running int
+	waiting []*exchange
+	// slowness multiplies the time of work; silent servers answer nothing.
+	slowness float64
+	silent   bool
+}
+
+// exchange is a request of a caller with its attempts.
+type exchange struct {
+	kind      *workKind
+	startedAt time.Duration
+	retries   int
+	conn      *connection
+	done      bool
+}
+
+// connection is a flow of a caller.
+type connection struct {
+	vm     *vm
+	packet lhflow.Event
+	server *fleetServer
+	open   bool
+	// current is the request in progress; responses to earlier ones are ignored.
+	current *exchange
+}
+
+// outcome counts the requests of a kind.
+type outcome struct {
+	requests, inAim, late, failed int
+	latencies                     []time.Duration
+}
+
+func (o *outcome) percentile(p float64) time.Duration {
+	if len(o.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(o.latencies)
+	return o.latencies[int(p*float64(len(o.latencies)-1))]
+}
+
+func (o *outcome) fraction(n int) float64 { return float64(n) / float64(max(o.requests, 1)) }
+
+// fleetModel simulates callers, VMs and servers.
+type fleetModel struct {
+	random  *rand.Rand
+	now     time.Duration
+	events  eventQueue
+	vms     []*vm
+	servers []*fleetServer
+	idle    []*connection
+	callers uint32
+	// sharing is set if the VMs of a data centre share their observations.
+	sharing bool
+	// resets counts flows that VMs have reset because their server is silent.
+	resets int
+	// outcomes holds the requests of each kind made after the fault began.
+	outcomes map[*workKind]*outcome
+}
+
+func newFleetModel(t *testing.T, vms int, sharing bool) *fleetModel {
+	f := &fleetModel{
+		sharing: sharing,
+		random:  rand.New(rand.NewPCG(3, 4)), now: time.Minute,
+		outcomes: map[*workKind]*outcome{feedKind: {}, orderKind: {}},
+	}
+	var all []Server
+	for n := range uint32(fleetServers) {
+		all = append(all, server(n+1, fmt.Sprintf("dc-%d", n%fleetDataCentres)))
+		f.servers = append(f.servers, &fleetServer{number: n + 1, slowness: 1})
+	}
+	for i := range vms {
+		v := newVM(t, all...)
+		v.Engine = NewEngine(fmt.Sprintf("dc-%d", i%fleetDataCentres), Limits{})
+		v.directory.SetConfig(Config{Revision: 2, Routes: []Route{
+			{Name: "feed", Address: service, TrafficSplit: []ServiceWeight{{"x", 1}}, Idempotent: true, Urgency: lhconf.Urgency(1), TargetLatency: feedKind.aim},
+			{Name: "order", Address: orders, TrafficSplit: []ServiceWeight{{"x", 1}}, Urgency: 2, TargetLatency: orderKind.aim},
+		}})
+		v.SetVMs(vms)
+		v.refresh()
+		f.vms = append(f.vms, v)
+	}
+	return f
+}
+
+func (f *fleetModel) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now + d, do}) }
+
+func (f *fleetModel) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.do()
+	}
+	f.now = until
+}
+
+func (f *fleetModel) poisson(rate float64, until time.Duration, do func()) {
+	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		if f.now < until {
+			do()
+			f.poisson(rate, until, do)
+		}
+	})
+}
+
+// connect returns a connection that is not open.
+func (f *fleetModel) connect(to netip.AddrPort) *connection {
+	f.callers++
+	caller := netip.AddrFrom4([4]byte{100, 64, byte(f.callers >> 8), byte(f.callers)})
+	key := lhflow.NewKey(lhflow.TCP, netip.AddrPortFrom(caller, uint16(1024+f.callers>>16)), to)
+	return &connection{
+		vm:     f.vms[f.random.IntN(len(f.vms))],
+		packet: lhflow.Event{Key: key, ID: lhflow.Seed{}.ID(key), Flags: lhflow.SYN, Seq: 1000},
+	}
+}
+
+func (f *fleetModel) handle(c *connection, ev lhflow.Event) Decision {
+	ev.Now = f.now
+	c.vm.now = f.now
+	d := c.vm.Handle(&ev)
+	if o := d.Observed; o.Evidence != 0 && f.sharing {
+		f.after(shareLatency, func() {
+			for _, v := range f.vms {
+				if v != c.vm && v.dataCentre == c.vm.dataCentre {
+					v.Observe(o)
+				}
+			}
+		})
+	}
+	return d
+}
+
+// begin starts a request on an idle connection or a new one.
+func (f *fleetModel) begin(kind *workKind) {
+	x := &exchange{kind: kind, startedAt: f.now}
+	if o := f.outcomes[kind]; f.now >= time.Minute+startupGrace+faultAt {
+		o.requests++
+	}
+	f.after(kind.deadline, func() { f.finish(x, false) })
+	if kind == feedKind && len(f.idle) > 0 {
+		i := f.random.IntN(len(f.idle))
+		c := f.idle[i]
+		f.idle[i] = f.idle[len(f.idle)-1]
+		f.idle = f.idle[:len(f.idle)-1]
+		f.send(x, c)
+		return
+	}
+	f.attempt(x)
+}
+
+// attempt opens a new flow for a request.
+func (f *fleetModel) attempt(x *exchange) {
+	if x.done {
+		return
+	}
+	c := f.connect(x.kind.address)
+	x.conn = c
+	for copies, delay := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+		f.after(delay, func() { f.syn(x, c, uint32(copies)) })
+	}
+	f.after(1400*time.Millisecond, func() {
+		if !c.open {
+			f.fail(x, c, true)
+		}
+	})
+}
+
+// syn sends a copy of the SYN of a flow.
+func (f *fleetModel) syn(x *exchange, c *connection, copies uint32) {
+	if c.open || x.done || x.conn != c {
+		return
+	}
+	ev := c.packet
+	ev.Ack = copies
+	switch d := f.handle(c, ev); d.Action {
+	case lhflow.Refuse:
+		f.fail(x, c, true)
+	case lhflow.ToServer:
+		s := f.servers[d.Server-1]
+		if s.silent {
+			return
+		}
+		f.after(2*fleetLatency, func() {
+			if c.open || x.done || x.conn != c {
+				return
+			}
+			c.open, c.server = true, s
+			c.packet.Flags, c.packet.Seq, c.packet.Ack, c.packet.Mark = lhflow.ACK, 1001, 500, s.number
+			f.handle(c, c.packet)
+			f.send(x, c)
+		})
+	}
+}
+
+// send sends a request on an open flow, and again while it is not acknowledged.
+func (f *fleetModel) send(x *exchange, c *connection) {
+	x.conn, c.current = c, x
+	f.transmit(x, c, 200*time.Millisecond)
+}
+
+func (f *fleetModel) transmit(x *exchange, c *connection, pause time.Duration) {
+	if x.done || x.conn != c || c.current != x {
+		return
+	}
+	ev := c.packet
+	ev.Data = 100
+	d := f.handle(c, ev)
+	if d.Action == lhflow.Reset {
+		if d.Reason == lhflow.ReasonSilent {
+			f.resets++
+		}
+		f.fail(x, c, false)
+		return
+	}
+	if s := c.server; d.Action == lhflow.ToServer && !s.silent {
+		f.after(fleetLatency, func() { f.arrive(x, c, s) })
+		return
+	}
+	f.after(pause, func() { f.transmit(x, c, 2*pause) })
+}
+
+// arrive delivers a request to its server.
+func (f *fleetModel) arrive(x *exchange, c *connection, s *fleetServer) {
+	switch {
+	case s.silent:
+	case s.running < 2:
+		f.serve(x, s)
+	case len(s.waiting) < serverQueueLimit:
+		s.waiting = append(s.waiting, x)
+	default:
+		f.fail(x, c, true)
+	}
+}
+
+func (f *fleetModel) serve(x *exchange, s *fleetServer) {
+	s.running++
+	work := (0.5 + f.random.Float64()) * float64(x.kind.work) * s.slowness
+	f.after(time.Duration(work), func() {
+		s.running--
+		if !s.silent {
+			f.after(fleetLatency, func() { f.finish(x, true) })
+		}
+		if len(s.waiting) > 0 {
+			next := s.waiting[0]
+			s.waiting = s.waiting[1:]
+			f.serve(next, s)
+		}
+	})
+}
+
+// fail ends an attempt, which is repeated if it has not run or may be repeated.
+func (f *fleetModel) fail(x *exchange, c *connection, notRun bool) {
+	if x.done || x.conn != c {
+		return
+	}
+	x.conn, c.current = nil, nil
+	if x.retries == maxRetries || !notRun && !x.kind.idempotent {
+		f.finish(x, false)
+		return
+	}
+	x.retries++
+	f.attempt(x)
+}
+
+// finish ends a request.
+func (f *fleetModel) finish(x *exchange, served bool) {
+	if x.done {
+		return
+	}
+	x.done = true
+	f.record(x, served)
+	c := x.conn
+	if c == nil || !c.open {
+		return
+	}
+	c.current = nil
+	ev := c.packet
+	if c.packet.Seq += 100; served {
+		c.packet.Ack += 100
+	}
+	ev.Seq, ev.Ack = c.packet.Seq, c.packet.Ack
+	if !served || x.kind != feedKind {
+		ev.Flags |= lhflow.FIN
+		if !served {
+			ev.Flags = lhflow.RST
+		}
+		f.handle(c, ev)
+		return
+	}
+	f.handle(c, ev)
+	f.idle = append(f.idle, c)
+}
+
+func (f *fleetModel) record(x *exchange, served bool) {
+	if x.startedAt < time.Minute+startupGrace+faultAt {
+		return
+	}
+	o := f.outcomes[x.kind]
+	latency := f.now - x.startedAt
+	switch {
+	case !served:
+		o.failed++
+	case latency <= x.kind.aim:
+		o.inAim++
+	default:
+		o.late++
+	}
+	o.latencies = append(o.latencies, latency)
+}
+
+// play runs the load, and the fault in its middle.
+func (f *fleetModel) play(fault func()) {
+	for range fleetUsers {
+		f.attempt(&exchange{kind: feedKind, startedAt: f.now})
+		f.run(f.now + startupGrace/fleetUsers)
+	}
+	end := time.Minute + startupGrace + fleetEnd
+	f.poisson(fleetFeedRate, end, func() { f.begin(feedKind) })
+	f.poisson(fleetOrderRate, end, func() { f.begin(orderKind) })
+	f.run(time.Minute + startupGrace + faultAt)
+	fault()
+	f.run(end + 4*time.Second)
+}
+
+// silence makes every n-th server silent and removes its entry later.
+func (f *fleetModel) silence(n int, lifetime time.Duration) {
+	for i := 0; i < len(f.servers); i += n {
+		f.servers[i].silent = true
+	}
+	f.after(lifetime, func() {
+		for _, v := range f.vms {
+			for i := 0; i < len(f.servers); i += n {
+				v.directory.Remove(f.now, fmt.Sprintf("i-%08x", i+1))
+			}
+			v.now = f.now
+			v.refresh()
+		}
+	})
+}
+
+// slow makes every n-th server slower for some seconds.
+func (f *fleetModel) slow(n int, factor float64) {
+	for i := 0; i < len(f.servers); i += n {
+		f.servers[i].slowness = factor
+	}
+	f.after(6*time.Second, func() {
+		for _, s := range f.servers {
+			s.slowness = 1
+		}
+	})
+}
+
+// TestFleetFaults plays faults of servers with a small and a large number of VMs. Where each
+// VM opens few flows at a server, they have to share what they observe:
+//   - silent servers: callers of open flows that may be repeated wait until the deadline;
+//   - many silent servers while the store can't be read (replacements during an outage): new
+//     flows go from one silent server to the next;
+//   - slow servers: nothing is reset, as they answer.
+func TestFleetFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(*fleetModel)
+		// maxFailed and maxLate limit failed feeds and late orders, as a fraction of
+		// those of VMs that don't share.
+		maxFailed, maxLate float64
+	}{
+		{"no fault", func(*fleetModel) {}, 1, 1},
+		{"1 of 20 silent", func(f *fleetModel) { f.silence(20, entryLifetime) }, 1. / 3, 1},
+		{"1 of 3 silent, store away", func(f *fleetModel) { f.silence(3, 9*time.Second) }, 1. / 3, 1. / 3},
+		{"1 of 5 slow x6", func(f *fleetModel) { f.slow(5, 6) }, 1, 1},
+	}
+	for _, c := range cases {
+		for _, vms := range []int{7, 195} {
+			t.Run(fmt.Sprintf("%s/%d VMs", c.name, vms), func(t *testing.T) {
+				var models []*fleetModel
+				for _, sharing := range []bool{false, true} {
+					f := newFleetModel(t, vms, sharing)
+					f.play(func() { c.do(f) })
+					for _, kind := range []*workKind{feedKind, orderKind} {
+						o := f.outcomes[kind]
+						t.Logf("sharing %v, %s: %d requests, in aim %.4f, late %.4f, failed %.4f, p99 %v; %d resets", sharing, kind.name,
+							o.requests, o.fraction(o.inAim), o.fraction(o.late), o.fraction(o.failed), o.percentile(0.99).Round(time.Millisecond), f.resets)
+					}
+					models = append(models, f)
+				}
+				alone, sharing := models[0], models[1]
+				if c.maxFailed == 1 && c.maxLate == 1 {
+					assert.Equal(t, sharing.resets, 0, "flows of servers that answer are reset")
+				}
+				if vms == 7 {
+					return
+				}
+				assert.Assert(t, sharing.outcomes[feedKind].failed <= int(c.maxFailed*float64(alone.outcomes[feedKind].failed)))
+				assert.Assert(t, sharing.outcomes[orderKind].late <= int(c.maxLate*float64(alone.outcomes[orderKind].late)))
+			})
+		}
+	}
+}
--- a/lhmark/server_stats.go
+++ b/lhmark/server_stats.go
@@ -11,6 +11,9 @@
 	// maxAvoidance, within which a server that is gone loses its entry.
 	initialAvoidance = time.Second
 	maxAvoidance     = 4 * time.Second
+	// minSilence is the number of unanswered SYNs and requests after which a server counts
+	// as silent. Single packets are lost now and then.
+	minSilence = 3
 	// probeInterval is how long a server that is tried again gets no second flow.
 	// The answer to the SYN arrives within this time, and so does the caller's
 	// first retransmission.
@@ -28,14 +31,17 @@
 	// openFlows counts the flows placed on the server that have not ended, and inFlight those
 	// with an unanswered SYN or request; inFlight is at most openFlows.
 	openFlows, inFlight int
-	// failures counts consecutive unanswered SYNs.
-	failures int
+	// failures counts consecutive unanswered SYNs, the first and last of which were found
+	// at firstFailure and lastFailure. unansweredRequests counts the requests on open flows
+	// that have not been answered since. Like the times of the last answered SYN and of
+	// the last answer of any kind they include what other VMs have observed.
+	failures, unansweredRequests int
+	firstFailure, lastFailure    time.Duration
+	lastAnswer, lastAlive        time.Duration
 	// avoidUntil is the time until which the server gets no new flow.
 	avoidUntil time.Duration
 	// warmAt is when a server that has just started reaches full speed.
 	warmAt time.Duration
-	// lastFailure is when a SYN was last found unanswered.
-	lastFailure time.Duration
 
 	// The counters never decrease.
 	placed, unanswered, answered uint64
@@ -76,23 +82,68 @@
 func (s *serverStats) recordUnanswered(now time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failures++
 	s.unanswered++
-	s.lastFailure = now
-	s.avoidUntil = now + min(initialAvoidance<<min(s.failures-1, 4), maxAvoidance)
+	s.recordFailure(now, s.failures+1)
 	return s.failures
 }
 
+// recordFailure records that a number of SYNs in a row were unanswered at some time. The
+// lock must be held.
+func (s *serverStats) recordFailure(at time.Duration, failures int) {
+	if s.failures == 0 {
+		s.firstFailure, s.unansweredRequests = at, 0
+	}
+	s.failures = failures
+	s.lastFailure = max(s.lastFailure, at)
+	s.avoidUntil = max(s.avoidUntil, at+min(initialAvoidance<<min(failures-1, 4), maxAvoidance))
+}
+
 // recordAnswered records an answered SYN and reports whether earlier ones were not.
-func (s *serverStats) recordAnswered() bool {
+func (s *serverStats) recordAnswered(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recovered := s.failures > 0
-	s.failures, s.avoidUntil = 0, 0
+	s.recordAnswer(now)
 	s.answered++
 	return recovered
 }
 
+// recordAnswer records that a SYN was answered at some time. The lock must be held.
+func (s *serverStats) recordAnswer(at time.Duration) {
+	s.failures, s.avoidUntil = 0, 0
+	s.lastAnswer, s.lastAlive = max(s.lastAnswer, at), max(s.lastAlive, at)
+}
+
+// recordServed records an answered request and reports whether it is the first answer
+// since SYNs were found unanswered.
+func (s *serverStats) recordServed(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := s.failures > 0 && s.lastAlive < s.firstFailure
+	s.lastAlive = now
+	return news
+}
+
+// recordUnansweredRequest records a retransmitted request and reports whether it is
+// evidence.
+func (s *serverStats) recordUnansweredRequest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures == 0 {
+		return false
+	}
+	s.unansweredRequests++
+	return true
+}
+
+// silent reports whether the server answers neither SYNs nor requests. One that is slow
+// answers SYNs at once, and one that holds as many flows as it can answers requests.
+func (s *serverStats) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failures > 0 && s.unansweredRequests > 0 && s.failures+s.unansweredRequests >= minSilence && s.lastAlive < s.firstFailure
+}
+
 // adjust adds to the numbers of open flows and of those in flight, down to 0.
 func (s *serverStats) adjust(openFlows, inFlight int) {
 	s.mu.Lock()
--- a/lhspread/lhspreadv1/spread.connect.go
+++ b/lhspread/lhspreadv1/spread.connect.go
@@ -37,6 +37,8 @@
 	SpreadServiceTellProcedure = "/lhspread.v1.SpreadService/Tell"
 	// SpreadServiceStateProcedure is the fully-qualified name of the SpreadService's State RPC.
 	SpreadServiceStateProcedure = "/lhspread.v1.SpreadService/State"
+	// SpreadServiceObserveProcedure is the fully-qualified name of the SpreadService's Observe RPC.
+	SpreadServiceObserveProcedure = "/lhspread.v1.SpreadService/Observe"
 )
 
 // SpreadServiceClient is a client for the lhspread.v1.SpreadService service.
@@ -48,6 +50,8 @@
 	// revision. A VM calls it when it starts while the store does not answer, and when it
 	// has missed an update.
 	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
+	// Observe delivers what VMs of a data centre have observed of backend servers.
+	Observe(context.Context, *connect.Request[ObserveRequest]) (*connect.Response[ObserveResponse], error)
 }
 
 // NewSpreadServiceClient constructs a client for the lhspread.v1.SpreadService service. By default,
@@ -73,13 +77,20 @@
 			connect.WithSchema(spreadServiceMethods.ByName("State")),
 			connect.WithClientOptions(opts...),
 		),
+		observe: connect.NewClient[ObserveRequest, ObserveResponse](
+			httpClient,
+			baseURL+SpreadServiceObserveProcedure,
+			connect.WithSchema(spreadServiceMethods.ByName("Observe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // spreadServiceClient implements SpreadServiceClient.
 type spreadServiceClient struct {
-	tell  *connect.Client[TellRequest, TellResponse]
-	state *connect.Client[StateRequest, StateResponse]
+	tell    *connect.Client[TellRequest, TellResponse]
+	state   *connect.Client[StateRequest, StateResponse]
+	observe *connect.Client[ObserveRequest, ObserveResponse]
 }
 
 // Tell calls lhspread.v1.SpreadService.Tell.
@@ -92,6 +103,11 @@
 	return c.state.CallUnary(ctx, req)
 }
 
+// Observe calls lhspread.v1.SpreadService.Observe.
+func (c *spreadServiceClient) Observe(ctx context.Context, req *connect.Request[ObserveRequest]) (*connect.Response[ObserveResponse], error) {
+	return c.observe.CallUnary(ctx, req)
+}
+
 // SpreadServiceHandler is an implementation of the lhspread.v1.SpreadService service.
 type SpreadServiceHandler interface {
 	// Tell delivers the changes of the store between two of its revisions. The callee
@@ -101,6 +117,8 @@
 	// revision. A VM calls it when it starts while the store does not answer, and when it
 	// has missed an update.
 	State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error)
+	// Observe delivers what VMs of a data centre have observed of backend servers.
+	Observe(context.Context, *connect.Request[ObserveRequest]) (*connect.Response[ObserveResponse], error)
 }
 
 // NewSpreadServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -122,12 +140,20 @@
 		connect.WithSchema(spreadServiceMethods.ByName("State")),
 		connect.WithHandlerOptions(opts...),
 	)
+	spreadServiceObserveHandler := connect.NewUnaryHandler(
+		SpreadServiceObserveProcedure,
+		svc.Observe,
+		connect.WithSchema(spreadServiceMethods.ByName("Observe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lhspread.v1.SpreadService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case SpreadServiceTellProcedure:
 			spreadServiceTellHandler.ServeHTTP(w, r)
 		case SpreadServiceStateProcedure:
 			spreadServiceStateHandler.ServeHTTP(w, r)
+		case SpreadServiceObserveProcedure:
+			spreadServiceObserveHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -144,3 +170,7 @@
 func (UnimplementedSpreadServiceHandler) State(context.Context, *connect.Request[StateRequest]) (*connect.Response[StateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lhspread.v1.SpreadService.State is not implemented"))
 }
+
+func (UnimplementedSpreadServiceHandler) Observe(context.Context, *connect.Request[ObserveRequest]) (*connect.Response[ObserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lhspread.v1.SpreadService.Observe is not implemented"))
+}
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -54,13 +54,23 @@
 	// incoming holds updates received from other VMs, outgoing those to be forwarded.
 	incoming chan lhstore.Update
 	outgoing chan delivery
+	// pending holds observations until they are sent, observed those received from other
+	// VMs, and forwarding those to be forwarded.
+	pending    pendingObservations
+	observed   chan []Observation
+	forwarding chan delivery
 
 	// Counters are monotonic.
 	calls, failures, received, dropped atomic.Uint64
 }
 
-// delivery is an update with the VMs to call.
+// delivery is an update or a list of observations with the VMs to call.
 type delivery struct {
+	// observations is set if the delivery is not an update; distributed if the callees
+	// forward them to their children.
+	observations []Observation
+	distributed  bool
+	// after to listed are the properties of an update.
 	after, revision uint64
 	// packed holds the items; all calls share it.
 	packed  []byte
@@ -103,6 +113,9 @@
 		absent:   s.Absent,
 		incoming: make(chan lhstore.Update, queueLength),
 		outgoing: make(chan delivery, queueLength),
+
+		observed:   make(chan []Observation, queueLength),
+		forwarding: make(chan delivery, queueLength),
 	}
 	n.order.Store(NewOrder(s.Self, nil))
 	return n
@@ -173,13 +186,20 @@
 	return mux
 }
 
-// Run sends queued updates until ctx ends. The returned channel then receives nil.
+// Run sends queued updates and observations until ctx ends. The returned channel then
+// receives nil.
 func (n *Node) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
+	sharing := make(chan struct{})
+	go func() {
+		defer close(sharing)
+		n.runSharing(ctx)
+	}()
 	go func() {
 		for {
 			select {
 			case <-ctx.Done():
+				<-sharing
 				n.http.CloseIdleConnections()
 				done <- nil
 				return
@@ -208,7 +228,7 @@
 	}
 }
 
-// call sends an update to one VM and reports whether the VM accepted it.
+// call makes one delivery to one VM and reports whether the VM accepted it.
 func (n *Node) call(ctx context.Context, d delivery, m Member) bool {
 	if m.Name == n.self {
 		// This VM has the update already, but its children need it.
@@ -221,11 +241,7 @@
 	defer cancel()
 	client := lhspreadv1.NewSpreadServiceClient(n.http, "http://"+m.Control.String())
 	n.calls.Add(1)
-	request := &lhspreadv1.TellRequest{
-		After: d.after, Revision: d.revision, Age: uint32(time.Since(d.readAt).Milliseconds()),
-		Changes: d.packed, Listed: d.listed,
-	}
-	if _, err := client.Tell(ctx, connect.NewRequest(request)); err != nil {
+	if err := n.send(ctx, d, client); err != nil {
 		n.failures.Add(1)
 		absence := n.failing.record(m, time.Now())
 		n.log.Debug().Err(err).Str("peer", m.Name).Uint64("at", d.revision).Dur("absent", absence).Msg("failed to deliver update")
@@ -238,6 +254,18 @@
 	return true
 }
 
+// send calls the method of another VM that takes the delivery.
+func (n *Node) send(ctx context.Context, d delivery, client lhspreadv1.SpreadServiceClient) error {
+	if len(d.observations) > 0 {
+		return n.observe(ctx, d, client)
+	}
+	_, err := client.Tell(ctx, connect.NewRequest(&lhspreadv1.TellRequest{
+		After: d.after, Revision: d.revision, Age: uint32(time.Since(d.readAt).Milliseconds()),
+		Changes: d.packed, Listed: d.listed,
+	}))
+	return err
+}
+
 // handler implements the SpreadService for a Node.
 type handler struct{ node *Node }
 
--- a/lhspread/node_test.go
+++ b/lhspread/node_test.go
@@ -126,3 +126,46 @@
 		})
 	}
 }
+
+// TestObservationsStayInDataCentre checks over loopback connections that an observation
+// reaches all other VMs of the data centre and no other VM, also if the first VM of the data
+// centre is down, and that its reporter does not receive it.
+func TestObservationsStayInDataCentre(t *testing.T) {
+	for _, rootDown := range []bool{false, true} {
+		t.Run(fmt.Sprint("first VM down ", rootDown), func(t *testing.T) {
+			byName := make(map[string]*testNode)
+			var members []Member
+			for i := range 24 {
+				r := start(t, fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", i%2))
+				byName[r.member.Name] = r
+				members = append(members, r.member)
+			}
+			for _, n := range byName {
+				n.SetMembers(members)
+			}
+			group, _ := byName["vm-0"].order.Load().ownGroup()
+			if rootDown {
+				assert.NilError(t, byName[group[0].Name].server.Close())
+				group = group[1:]
+			}
+			reporter := byName[group[len(group)-1].Name]
+			seenAt := time.Now()
+			reporter.Share(Observation{Server: 7, Evidence: 2, Failures: 3, SeenAt: seenAt})
+			for _, m := range group[:len(group)-1] {
+				got := <-byName[m.Name].Observations()
+				assert.Equal(t, len(got), 1)
+				assert.Equal(t, got[0].Server, uint32(7))
+				assert.Equal(t, got[0].Evidence, uint8(2))
+				assert.Equal(t, got[0].Failures, uint32(3))
+				assert.Assert(t, got[0].SeenAt.Before(time.Now()))
+			}
+			for _, n := range byName {
+				for len(n.Observations()) > 0 {
+					got := <-n.Observations()
+					assert.Assert(t, n.member.DataCentre == group[0].DataCentre, "an observation left the data centre")
+					assert.Assert(t, n != reporter || len(got) == 0, "the reporter receives its own observation")
+				}
+			}
+		})
+	}
+}
--- a/lhspread/order.go
+++ b/lhspread/order.go
@@ -38,12 +38,15 @@
 // SipHash keys for the order of members. They need not be secret.
 const orderKey0, orderKey1 = 0x7370726561642d30, 0x7370726561642d31
 
+// hashName returns the hash of a VM's name.
+func hashName(name string) uint64 { return siphash.Hash(orderKey0, orderKey1, []byte(name)) }
+
 // sortByHash returns members sorted by a hash of their names.
 func sortByHash(members []Member) []Member {
 	all := slices.Clone(members)
 	hashes := make(map[string]uint64, len(all))
 	for _, m := range all {
-		hashes[m.Name] = siphash.Hash(orderKey0, orderKey1, []byte(m.Name))
+		hashes[m.Name] = hashName(m.Name)
 	}
 	slices.SortFunc(all, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(hashes[a.Name], hashes[b.Name]), cmp.Compare(a.Name, b.Name))
@@ -131,28 +134,34 @@
 	return list
 }
 
-// selfChildren returns the children of the VM itself.
-func (o *Order) selfChildren() []treeNode {
-	for _, g := range o.byDataCentre {
-		for i, m := range g {
-			if m.Name == o.self {
-				return treeNode{g, i}.children()
-			}
+// ownGroup returns the members of the VM's data centre in order and the VM's index in it. If
+// the VM is not a member, there are none.
+func (o *Order) ownGroup() ([]Member, int) {
+	for _, group := range o.byDataCentre {
+		if i := slices.IndexFunc(group, o.isSelf); i >= 0 {
+			return group, i
 		}
 	}
-	return nil
+	return nil, 0
+}
+
+// selfChildren returns the children of the VM itself.
+func (o *Order) selfChildren() []treeNode {
+	group, i := o.ownGroup()
+	return treeNode{group, i}.children()
 }
 
 // neighbours returns up to n other members of the VM's data centre, or of all if the VM is
 // not a member, in the order of a random permutation of their indexes.
 func (o *Order) neighbours(n int, permutation func(int) []int) []Member {
-	var others []Member
-	for _, group := range o.byDataCentre {
-		if i := slices.IndexFunc(group, o.isSelf); i >= 0 {
-			others = slices.Concat(group[:i], group[i+1:])
-			break
+	group, self := o.ownGroup()
+	others := group
+	if len(group) > 0 {
+		others = slices.Concat(group[:self], group[self+1:])
+	} else {
+		for _, g := range o.byDataCentre {
+			others = append(others, g...)
 		}
-		others = append(others, group...)
 	}
 	var list []Member
 	for _, i := range permutation(len(others))[:min(n, len(others))] {
