lhmark: choose the server of a new flow in constant time

Cause: each SYN locked, scored and sorted all servers of its service.

Change: servers are drawn by a hash of the flow, from the VM's own data centre and from the others, until three are found that are neither suspect nor tried; all are looked at only if none is found.

--- a/lhmark/admission.go
+++ b/lhmark/admission.go
@@ -126,7 +126,7 @@
 		return false
 	}
 	inFlight, limit := 0.0, 0.0
-	for _, s := range t.serving[service] {
+	for _, s := range t.servingOf(service) {
 		share := factor * a.serverShare(s)
 		inFlight += min(e.statsOf(s).inFlightCount(), maxServerShares*share+1)
 		limit += share
--- a/lhmark/bench_test.go
+++ b/lhmark/bench_test.go
@@ -69,3 +69,23 @@
 	}
 	b.ReportMetric(float64(size)/(1<<20), "MB")
 }
+
+// BenchmarkOpenFlow measures a SYN of a new flow by the number of servers.
+func BenchmarkOpenFlow(b *testing.B) {
+	for _, servers := range []uint32{15, 300, 5000} {
+		b.Run(fmt.Sprintf("%d servers", servers), func(b *testing.B) {
+			v := &vm{Engine: NewEngine("dc-1", Limits{Flows: 10_000}), now: time.Minute}
+			v.directory.SetConfig(Config{Revision: 1, Routes: []Route{{Address: service, TrafficSplit: []ServiceWeight{{Service: "x"}}}}})
+			for n := range servers {
+				v.directory.Set(server(n+1, fmt.Sprint("dc-", n%5)))
+			}
+			v.refresh()
+			b.ReportAllocs()
+			for i := uint32(0); b.Loop(); i++ {
+				ev := packet(uint16(i), lhflow.SYN)
+				ev.Seq = i
+				v.handle(ev)
+			}
+		})
+	}
+}
--- a/lhmark/choose.go
+++ b/lhmark/choose.go
@@ -5,14 +5,15 @@
 	"time"
 
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
-	"github.com/laburnumhollow/laburnumhollow/lhplace"
 )
 
 const (
-	// sampleSize is the number of servers compared for a new flow. Three in
-	// rendezvous order spread flows well, and keep VMs with the same state from all
-	// choosing the same server.
+	// sampleSize is the number of servers compared for a new flow. Three random ones
+	// spread flows well, and keep VMs with the same state from all choosing the same.
 	sampleSize = 3
+	// maxDraws is how many servers are looked at to find them: suspect servers and those
+	// already tried are passed over.
+	maxDraws = 24
 	// remoteCostFactor multiplies the cost of a server in another data centre: its answers
 	// take longer, and a partition between data centres would cut the flow off.
 	remoteCostFactor = 4
@@ -22,67 +23,73 @@
 type candidate struct {
 	server *Server
 	cost   float64
-	// score is the rendezvous score; the highest is considered first.
-	score float64
 }
 
 // chooseServer returns the server for a new flow among those not tried yet, or nil
-// if there is none. A suspect server is chosen only if all others are suspect too.
-func (e *Engine) chooseServer(now time.Duration, id lhflow.ID, servers []*Server, tried []uint32) *candidate {
-	var local, remote, suspects []candidate
-	for _, s := range servers {
-		if slices.Contains(tried, s.Number) {
-			continue
-		}
-		stats := e.statsOf(s)
-		stats.mu.Lock()
-		c := candidate{server: s, cost: stats.cost(now, s.Slots), score: lhplace.Score(id, s.Number, float64(s.Slots))}
-		suspect := stats.suspect(now)
-		lastFailure := stats.lastFailure
-		stats.mu.Unlock()
-		switch {
-		case suspect:
-			c.score = -float64(lastFailure)
-			suspects = append(suspects, c)
-		case s.DataCentre == e.dataCentre:
-			local = append(local, c)
-		default:
-			c.cost *= remoteCostFactor
-			remote = append(remote, c)
-		}
+// if there is none. A suspect server is chosen only if no other is found. The cost of a
+// choice does not depend on the number of servers, unless nearly all are suspect.
+func (e *Engine) chooseServer(now time.Duration, id lhflow.ID, p *pool, tried []uint32) *candidate {
+	if p == nil {
+		return nil
+	}
+	best := e.lowestCost(now, id, p.local(e.dataCentre), tried)
+	remote := e.lowestCost(now, id, p.remote(e.dataCentre), tried)
+	if remote != nil {
+		remote.cost *= remoteCostFactor
 	}
-	best := lowestCost(local)
-	if bestRemote := lowestCost(remote); best == nil || bestRemote != nil && bestRemote.cost < best.cost {
-		best = bestRemote
+	if best == nil || remote != nil && remote.cost < best.cost {
+		best = remote
 	}
-	if best == nil && len(suspects) > 0 {
-		best = &topScored(suspects, 1)[0]
+	if best == nil {
+		best = e.scan(now, p, tried)
 	}
 	return best
 }
 
-// lowestCost returns the candidate with the lowest cost among the sampleSize with
-// the highest scores, or nil for an empty list.
-func lowestCost(list []candidate) *candidate {
+// lowestCost returns the candidate with the lowest cost among sampleSize servers, or nil if
+// all that were looked at are suspect or have been tried.
+func (e *Engine) lowestCost(now time.Duration, id lhflow.ID, p part, tried []uint32) *candidate {
 	var best *candidate
-	for i, c := range topScored(list, sampleSize) {
-		if best == nil || c.cost < best.cost {
-			best = &list[i]
+	var found [sampleSize]*Server
+	count := 0
+	for n := uint64(0); p.size > 0 && n < maxDraws && count < sampleSize; n++ {
+		s, ok := p.draw(id, n)
+		if !ok || slices.Contains(tried, s.Number) || slices.Contains(found[:count], s) {
+			continue
+		}
+		cost, suspect := e.statsOf(s).costOrSuspect(now, s.Slots)
+		if suspect {
+			continue
+		}
+		found[count] = s
+		if count++; best == nil || cost < best.cost {
+			best = &candidate{s, cost}
 		}
 	}
 	return best
 }
 
-// topScored sorts the candidates by descending score and returns the first n.
-func topScored(list []candidate, n int) []candidate {
-	slices.SortFunc(list, func(a, b candidate) int {
+// scan looks at all servers. It returns the one with the lowest cost, or if all are suspect,
+// the one whose last failure is the longest ago.
+func (e *Engine) scan(now time.Duration, p *pool, tried []uint32) *candidate {
+	var best, oldest *candidate
+	oldestFailure := time.Duration(0)
+	for _, s := range p.servers {
+		if slices.Contains(tried, s.Number) {
+			continue
+		}
+		stats := e.statsOf(s)
+		cost, suspect := stats.costOrSuspect(now, s.Slots)
+		failure := stats.lastFailureTime()
 		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
+		case !suspect && (best == nil || cost < best.cost):
+			best = &candidate{s, cost}
+		case suspect && (oldest == nil || failure < oldestFailure):
+			oldest, oldestFailure = &candidate{s, cost}, failure
 		}
-		return 0
-	})
-	return list[:min(n, len(list))]
+	}
+	if best == nil {
+		best = oldest
+	}
+	return best
 }
--- a/lhmark/table.go
+++ b/lhmark/table.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
-	"strings"
 
 	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
@@ -17,7 +15,7 @@
 	// byNumber holds the server of each mark.
 	byNumber map[uint32]*Server
 	// serving holds the servers that take new flows, by the name of their service.
-	serving map[string][]*Server
+	serving map[string]*pool
 	// ended marks the numbers of servers that have ended, which are in byNumber as well.
 	ended map[uint32]bool
 	// minUrgency holds the lowest urgency among the routes to each service.
@@ -31,7 +29,7 @@
 		cfg:        cfg,
 		routes:     make(map[netip.AddrPort]*Route, len(cfg.Routes)),
 		byNumber:   make(map[uint32]*Server, len(present)+len(ended)),
-		serving:    make(map[string][]*Server),
+		serving:    make(map[string]*pool),
 		ended:      make(map[uint32]bool, len(ended)),
 		minUrgency: make(map[string]lhconf.Urgency),
 	}
@@ -47,15 +45,16 @@
 	for _, s := range ended {
 		t.ended[s.Number] = t.byNumber[s.Number] == s
 	}
+	serving := make(map[string][]*Server)
 	for _, s := range present {
 		// A server whose number belongs to another gets no flows: its mark would
 		// select the other.
 		if t.byNumber[s.Number] == s && s.State == lhconf.Serving {
-			t.serving[s.Service] = append(t.serving[s.Service], s)
+			serving[s.Service] = append(serving[s.Service], s)
 		}
 	}
-	for _, list := range t.serving {
-		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.Name, b.Name) })
+	for name, list := range serving {
+		t.serving[name] = newPool(list)
 	}
 	return t
 }
@@ -85,15 +84,29 @@
 // ServingCount returns the number of servers that take new flows.
 func (t *Table) ServingCount() int {
 	sum := 0
-	for _, list := range t.serving {
-		sum += len(list)
+	for _, p := range t.serving {
+		sum += len(p.servers)
 	}
 	return sum
 }
 
-// Serving returns the servers that take new flows, by the name of their service.
-// The map must not be modified.
-func (t *Table) Serving() map[string][]*Server { return t.serving }
+// Serving returns the servers that take new flows, by the name of their service. The
+// slices must not be modified.
+func (t *Table) Serving() map[string][]*Server {
+	all := make(map[string][]*Server, len(t.serving))
+	for name, p := range t.serving {
+		all[name] = p.servers
+	}
+	return all
+}
+
+// servingOf returns the servers of a service that take new flows.
+func (t *Table) servingOf(service string) []*Server {
+	if p := t.serving[service]; p != nil {
+		return p.servers
+	}
+	return nil
+}
 
 // Route returns the route of a flow.
 func (t *Table) Route(key lhflow.Key) (*Route, bool) {
