lhmark: refuse SYNs at once in a flood instead of dropping all but the last copy

Cause: while a service is throttled, its least urgent SYNs were dropped and the last copy refused after 600 ms, also where most retransmissions were dropped again. Those that got through took the place of requests that came later and were late by then.

Change: a SYN is refused at once while more than half of the SYNs of its service are throttled, and dropped otherwise. A SYN of which another VM may have forwarded a copy is never refused, since its flow may be opening: a refusal says that nothing has run.

--- a/lhmark/admission.go
+++ b/lhmark/admission.go
@@ -37,6 +37,11 @@
 	startupGrace = 4 * time.Second
 	// lastSYNCopy is the number of the last copy of a SYN that a caller sends.
 	lastSYNCopy = 2
+	// minAdmission is the fraction of SYNs admitted lately below which a SYN is refused at
+	// once: most retransmissions would be throttled as well.
+	minAdmission = 0.5
+	// admissionWeight is the weight of the latest SYN in that fraction.
+	admissionWeight = 0.1
 )
 
 // admission limits the work in progress at services that answer slowly. Work above
@@ -56,6 +61,8 @@
 // The zero value is maxLimitFactor, at which nothing is throttled.
 type workLimit struct {
 	mu sync.Mutex
+	// throttled is the fraction of SYNs that were throttled lately.
+	throttled float64
 	// reduction is subtracted from maxLimitFactor; from 0 to maxLimitFactor-1.
 	reduction float64
 	// adjustedAt is the time of the last adjustment.
@@ -80,6 +87,18 @@
 	return maxLimitFactor - l.reduction
 }
 
+// recordSYN records whether a SYN is throttled, and reports whether most of them are.
+func (l *workLimit) recordSYN(throttled bool) (most bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	outcome := 0.0
+	if throttled {
+		outcome = 1
+	}
+	l.throttled += admissionWeight * (outcome - l.throttled)
+	return l.throttled > 1-minAdmission
+}
+
 // SetVMs sets the number of VMs that share the callers' load; 0 counts as one.
 func (e *Engine) SetVMs(n int) { e.admission.vms.Store(int64(n)) }
 
@@ -118,7 +137,7 @@
 // is open there, is not throttled while that server has less than its share.
 func (e *Engine) overLimit(now time.Duration, t *Table, route *Route, service string, pinned *Server) bool {
 	a := &e.admission
-	if route == nil || route.TargetLatency == 0 || route.Urgency > t.minUrgency[service] || now-time.Duration(a.startedAt.Load()) < startupGrace {
+	if !e.throttleable(now, t, route, service) {
 		return false
 	}
 	factor := a.limit(service).factor()
@@ -134,12 +153,38 @@
 	return inFlight >= limit
 }
 
-// throttleSYN drops a SYN, which the caller retransmits. It refuses the last copy,
-// so that the caller learns at once that no request has run.
-func throttleSYN(ev *lhflow.Event, route *Route) Decision {
-	if ev.Ack >= lastSYNCopy {
+// throttleable reports whether work of a route may be throttled.
+func (e *Engine) throttleable(now time.Duration, t *Table, route *Route, service string) bool {
+	return route != nil && route.TargetLatency > 0 && route.Urgency <= t.minUrgency[service] &&
+		now-time.Duration(e.admission.startedAt.Load()) >= startupGrace
+}
+
+// admitSYN reports whether a SYN is throttled, and whether most SYNs of its service lately
+// were.
+func (e *Engine) admitSYN(now time.Duration, t *Table, route *Route, service string) (throttled, most bool) {
+	if !e.throttleable(now, t, route, service) {
+		return false, false
+	}
+	throttled = e.overLimit(now, t, route, service, nil)
+	return throttled, e.admission.limit(service).recordSYN(throttled)
+}
+
+// throttleSYN drops a SYN, which the caller retransmits. It refuses it if nobody would
+// retransmit it, or if most retransmissions would be throttled as well, so that the caller
+// learns at once that no request has run. It never refuses a SYN of which another VM may
+// have forwarded a copy, as the flow may be opening.
+func (e *Engine) throttleSYN(ev *lhflow.Event, route *Route, mostThrottled bool, s *shard, r *record) Decision {
+	if fresh := ev.Ack == 0 || r != nil; fresh && (mostThrottled || ev.Ack >= lastSYNCopy) {
+		if r != nil {
+			e.removeFlow(s, ev.Key, r)
+		}
 		return refuse(lhflow.ReasonRefused, route)
 	}
+	if r == nil && ev.Ack == 0 && e.Len() < e.limits.Flows {
+		r = &record{isn: ev.Seq, lastSeen: ev.Now}
+		s.put(ev.Key, r)
+		e.size.Add(1)
+	}
 	d := drop(lhflow.ReasonRefused)
 	d.Route = route
 	return d
--- a/lhmark/engine.go
+++ b/lhmark/engine.go
@@ -148,28 +148,32 @@
 	case !ok:
 		return drop(lhflow.ReasonNoService)
 	}
-	if r != nil && r.isn == ev.Seq {
+	if r != nil && r.isn == ev.Seq && !r.throttled() {
 		return e.handleRetransmittedSYN(ev, t, route, r)
 	}
-	if r != nil {
+	if r != nil && r.isn != ev.Seq {
 		// The caller has reused the port for a new flow.
 		e.removeFlow(s, ev.Key, r)
+		r = nil
 	}
 	if e.Len() >= e.limits.Flows {
 		e.expire(ev.Now, s, t.idleTimeout())
 	}
 	service := route.pickService(ev.ID)
-	if e.overLimit(ev.Now, t, route, service, nil) {
-		return throttleSYN(ev, route)
+	if throttled, most := e.admitSYN(ev.Now, t, route, service); throttled {
+		return e.throttleSYN(ev, route, most, s, r)
 	}
 	chosen := e.chooseServer(ev.Now, ev.ID, t.serving[service], nil)
 	if chosen == nil {
 		return refuse(lhflow.ReasonNoServer, route)
 	}
-	if e.Len() < e.limits.Flows {
-		r = &record{isn: ev.Seq, synCopy: ev.Ack, lastSeen: ev.Now}
+	if r == nil && e.Len() < e.limits.Flows {
+		r = &record{isn: ev.Seq}
 		s.put(ev.Key, r)
 		e.size.Add(1)
+	}
+	if r != nil {
+		r.synCopy, r.lastSeen = ev.Ack, ev.Now
 		e.recordSYNSent(ev.Now, r, chosen.server)
 	}
 	d := toServer(chosen.server)
--- a/lhmark/record.go
+++ b/lhmark/record.go
@@ -59,6 +59,9 @@
 	unanswered bool
 }
 
+// throttled reports whether this VM has dropped all copies of the flow's SYN so far.
+func (r *record) throttled() bool { return r.state == opening && r.attempts == 0 }
+
 // expired reports whether no more packets of the flow are expected.
 func (r *record) expired(now, idle time.Duration) bool {
 	silence := now - r.lastSeen
