lhspread, lhstore: let most VMs ask others instead of the store in an outage

Cause: when updates fail to come, every VM read the store itself and retried after 0.1, 0.2, 0.4 s and so on.

Change: the first two VMs of each data centre read the store when their state is outdated. The others ask one of the first four, and step in one after the other, 0.3 s apart, while those answer but have nothing newer; at once if they don't answer.

--- a/lhspread/load_test.go
+++ b/lhspread/load_test.go
@@ -169,7 +169,7 @@
 func (v *fleetVM) ReachabilityChanged(bool, error)   {}
 func (v *fleetVM) Refreshed(uint64, time.Duration)   {}
 func (v *fleetVM) MaxAge() time.Duration             { return v.order.MaxAge() }
-func (v *fleetVM) AsksPeers() bool                   { return v.order.AsksPeers() }
+func (v *fleetVM) ReadAge() time.Duration            { return v.order.ReadAge() }
 func (v *fleetVM) Updates() <-chan lhstore.Update    { return v.updates }
 func (v *fleetVM) send(u lhstore.Update, n treeNode) { v.fleet.deliver(v, u, n) }
 
@@ -181,12 +181,13 @@
 	}
 }
 
-func (v *fleetVM) State(_ context.Context, after uint64) (lhstore.Update, error) {
+func (v *fleetVM) State(_ context.Context, after uint64, from lhstore.Source) (lhstore.Update, error) {
 	time.Sleep(peerLatency)
-	for _, m := range v.order.neighbours(1, v.fleet.permutation) {
-		return v.fleet.vms[m.Name].mirror.State(after), nil
+	m, ok := v.order.source(from, v.fleet.randomInt)
+	if !ok || after == 0 {
+		return lhstore.Update{}, lhcode.New(lhcode.PeerUnreachable, "no other VM")
 	}
-	return lhstore.Update{}, lhcode.New(lhcode.PeerUnreachable, "no other VM")
+	return v.fleet.vms[m.Name].mirror.State(after), nil
 }
 
 // fleet is a number of VMs in five data centres.
@@ -199,10 +200,10 @@
 	lossRate float64
 }
 
-func (f *fleet) permutation(n int) []int {
+func (f *fleet) randomInt(n int) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.random.Perm(n)
+	return f.random.IntN(n)
 }
 
 // deliver sends an update from one VM to a node of its tree, as Node does: the children of
@@ -279,11 +280,14 @@
 		lossRate float64
 		// refused is the number of VMs, the first in order, that the store refuses.
 		refused int
+		// away is how long the store refuses all VMs.
+		away time.Duration
 	}{
-		{"hardly any change", 20 * time.Second, 0, 0},
-		{"a change every 100 ms", 100 * time.Millisecond, 0, 0},
-		{"lost updates", 100 * time.Millisecond, 0.01, 0},
-		{"first VM refused by the store", time.Second, 0, 1},
+		{"hardly any change", 20 * time.Second, 0, 0, 0},
+		{"a change every 100 ms", 100 * time.Millisecond, 0, 0, 0},
+		{"lost updates", 100 * time.Millisecond, 0.01, 0, 0},
+		{"first VM refused by the store", time.Second, 0, 1, 0},
+		{"store away for 5 s", time.Second, 0, 0, 5 * time.Second},
 	}
 	for _, c := range cases {
 		for _, vms := range []int{20, 200} {
@@ -293,6 +297,10 @@
 					f, ended := startFleet(ctx, vms, c.lossRate)
 					f.store.setRefused(f.ranked()[:c.refused]...)
 					before, start := f.store.callCount(), time.Now()
+					if c.away > 0 {
+						f.store.setRefused(f.ranked()...)
+						time.AfterFunc(c.away, func() { f.store.setRefused() })
+					}
 					last := ""
 					for i := 0; time.Since(start) < time.Minute; i++ {
 						time.Sleep(c.changes)
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -134,8 +134,8 @@
 // MaxAge returns the age of the known state at which the VM reads the store.
 func (n *Node) MaxAge() time.Duration { return n.order.Load().MaxAge() }
 
-// AsksPeers reports whether the VM asks others for changes before it reads the store.
-func (n *Node) AsksPeers() bool { return n.order.Load().AsksPeers() }
+// ReadAge returns the age at which the VM reads the store even if other VMs answer.
+func (n *Node) ReadAge() time.Duration { return n.order.Load().ReadAge() }
 
 // Updates returns the channel of updates received from other VMs.
 func (n *Node) Updates() <-chan lhstore.Update { return n.incoming }
--- a/lhspread/order.go
+++ b/lhspread/order.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/dchest/siphash"
+
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
 )
 
 const (
@@ -23,6 +25,14 @@
 	rankDelay     = 60 * time.Millisecond
 	// maxDelayedRank is the rank from which on the delay no longer grows.
 	maxDelayedRank = 10
+	// localReaders is how many VMs of each data centre read the store when their state is
+	// outdated, without asking others. Each further VM steps in stepInDelay later, up to
+	// maxStepInDelay: it is ever less likely that the store refuses all VMs before it. The
+	// others ask one of the first sources VMs.
+	localReaders   = 2
+	sources        = 4
+	stepInDelay    = 300 * time.Millisecond
+	maxStepInDelay = 5 * time.Second
 	// publishers is how many VMs send what they read to the others. After an outage of
 	// the store many VMs read it at the same time.
 	publishers = 4
@@ -92,9 +102,19 @@
 // Publishes reports whether the VM sends what it reads to the others.
 func (o *Order) Publishes() bool { return o.rank < publishers }
 
-// AsksPeers reports whether the VM asks others for changes before it reads the store. The
-// VMs that publish are the ones that the others learn changes from.
-func (o *Order) AsksPeers() bool { return !o.Publishes() && len(o.byDataCentre) > 0 }
+// ReadAge returns the age of the known state at which the VM reads the store even if the VMs
+// that it asks for changes answer. The first VMs of each data centre ask nobody; the others
+// step in one after the other while those have no recent state either.
+func (o *Order) ReadAge() time.Duration {
+	group, index := o.ownGroup()
+	if o.Publishes() || len(o.byDataCentre) == 0 || len(group) > 0 && index < localReaders {
+		return o.MaxAge()
+	}
+	if len(group) == 0 {
+		index = max(o.rank, localReaders)
+	}
+	return o.MaxAge() + min(stepInDelay*time.Duration(index-localReaders+1), maxStepInDelay)
+}
 
 // Size returns the number of members.
 func (o *Order) Size() int {
@@ -151,23 +171,29 @@
 	return treeNode{group, i}.children()
 }
 
-// neighbours returns up to n other members of the VM's data centre, or of all if the VM is
-// not a member, in the order of a random permutation of their indexes.
-func (o *Order) neighbours(n int, permutation func(int) []int) []Member {
-	group, self := o.ownGroup()
-	others := group
-	if len(group) > 0 {
-		others = slices.Concat(group[:self], group[self+1:])
-	} else {
-		for _, g := range o.byDataCentre {
-			others = append(others, g...)
-		}
+// peers returns the other members of the VM's data centre, or all if the VM is not a member.
+func (o *Order) peers() []Member {
+	if group, self := o.ownGroup(); len(group) > 0 {
+		return slices.Concat(group[:self], group[self+1:])
+	}
+	var all []Member
+	for _, group := range o.byDataCentre {
+		all = append(all, group...)
+	}
+	return all
+}
+
+// source returns the member that is asked for changes. The argument returns a random number
+// below its own argument. It reports false if there is no other member.
+func (o *Order) source(from lhstore.Source, random func(int) int) (Member, bool) {
+	list := o.peers()
+	if from == lhstore.FromReader {
+		list = list[:min(sources, len(list))]
 	}
-	var list []Member
-	for _, i := range permutation(len(others))[:min(n, len(others))] {
-		list = append(list, others[i])
+	if len(list) == 0 {
+		return Member{}, false
 	}
-	return list
+	return list[random(len(list))], true
 }
 
 // isSelf reports whether a member is the VM itself.
--- a/lhspread/state.go
+++ b/lhspread/state.go
@@ -17,16 +17,12 @@
 // times the size of a state with 41,000 backend servers and 16,000 routes.
 const maxStateSize = 8 << 20
 
-// maxPeerRequests is how many other VMs are asked for changes that this VM may have missed.
-// Most of them have received what it lacks.
-const maxPeerRequests = 1
-
-// State requests the changes after a revision from other VMs of the data centre, or, if
+// State requests the changes after a revision from another VM of the data centre, or, if
 // after is 0, the complete state from all contacts, of which it returns the newest. The
 // error has lhcode.PeerUnreachable if none was obtained.
-func (n *Node) State(ctx context.Context, after uint64) (lhstore.Update, error) {
+func (n *Node) State(ctx context.Context, after uint64, from lhstore.Source) (lhstore.Update, error) {
 	if after > 0 {
-		return n.fetchChanges(ctx, after)
+		return n.fetchChanges(ctx, after, from)
 	}
 	results := make(chan stateResult)
 	for _, c := range n.contacts {
@@ -51,21 +47,14 @@
 	return newest, lhcode.Newf(lhcode.PeerUnreachable, "none of %d contacts has any state", len(n.contacts))
 }
 
-// fetchChanges requests the changes after a revision from random VMs of the data centre
-// until one knows at least that revision.
-func (n *Node) fetchChanges(ctx context.Context, after uint64) (lhstore.Update, error) {
-	var lastErr error
-	for _, m := range n.order.Load().neighbours(maxPeerRequests, rand.Perm) {
-		r := n.fetchState(ctx, m.Control, after)
-		if r.err == nil && r.state.Revision >= after {
-			return r.state, nil
-		}
-		lastErr = r.err
-	}
-	if lastErr != nil {
-		return lhstore.Update{}, lhcode.Wrap(lhcode.PeerUnreachable, lastErr, "fetch changes from other VMs")
+// fetchChanges requests the changes after a revision from one VM of the data centre.
+func (n *Node) fetchChanges(ctx context.Context, after uint64, from lhstore.Source) (lhstore.Update, error) {
+	m, ok := n.order.Load().source(from, rand.IntN)
+	if !ok {
+		return lhstore.Update{}, lhcode.New(lhcode.PeerUnreachable, "no other VM is known")
 	}
-	return lhstore.Update{}, lhcode.Newf(lhcode.PeerUnreachable, "no other VM knows revision %d", after)
+	r := n.fetchState(ctx, m.Control, after)
+	return r.state, lhcode.Wrap(lhcode.PeerUnreachable, r.err, "fetch changes from another VM")
 }
 
 // stateResult is the result of one call of fetchState.
--- a/lhspread/state_test.go
+++ b/lhspread/state_test.go
@@ -47,7 +47,7 @@
 				contacts = append(contacts, r.member.Control)
 			}
 			n := NewNode(NodeSettings{Self: "new", Contacts: contacts, Log: zerolog.Nop()})
-			state, err := n.State(context.Background(), 0)
+			state, err := n.State(context.Background(), 0, lhstore.FromAny)
 			assert.Equal(t, state.Revision, c.want)
 			assert.Equal(t, len(state.Items), int(c.want))
 			if c.want == 0 {
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -90,18 +90,29 @@
 	// MaxAge returns the age of the known state at which this VM reads the store
 	// itself.
 	MaxAge() time.Duration
-	// AsksPeers reports whether this VM asks another VM for changes before it reads the
-	// store.
-	AsksPeers() bool
+	// ReadAge returns the age at which it reads the store even if another VM answers. If
+	// that is above MaxAge, it asks another VM for changes first.
+	ReadAge() time.Duration
 	// Publish sends an update read from the store to other VMs.
 	Publish(Update)
 	// Updates returns the channel of updates received from other VMs.
 	Updates() <-chan Update
 	// State returns the changes after a revision that another VM knows, or its complete
 	// state if after is 0 or that VM lacks some of the changes.
-	State(ctx context.Context, after uint64) (Update, error)
+	State(ctx context.Context, after uint64, from Source) (Update, error)
 }
 
+// Source is which of the other VMs is asked for changes.
+type Source uint8
+
+// The sources.
+const (
+	// FromAny is any VM, most of which have received an update that this VM has missed.
+	FromAny Source = iota
+	// FromReader is a VM that reads the store when updates fail to come.
+	FromReader
+)
+
 const (
 	// MirrorWait is how long a watch waits for changes. The first VM reads again
 	// within its own and this time, before the others consider their state outdated.
@@ -113,6 +124,8 @@
 	// maxPeerAge is the age of another VM's state, as a fraction of Distributor.MaxAge, at
 	// which it replaces a read of the store.
 	maxPeerAge = 0.75
+	// peerRetryDelay is the delay after another VM had nothing newer.
+	peerRetryDelay = 200 * time.Millisecond
 	// maxInitialRetryDelay bounds the delay of a VM that has no state yet and thus can't
 	// serve traffic.
 	maxInitialRetryDelay = 200 * time.Millisecond
@@ -210,24 +223,52 @@
 	case u := <-l.Distributor.Updates():
 		l.receive(u)
 	case <-t.C:
-		if l.listed && (l.missedUpdate > 0 || l.Distributor.AsksPeers()) && l.loadPeerState(ctx) {
+		if l.askPeer(ctx) {
 			return
 		}
 		l.read(ctx)
 		if l.state.revision == 0 {
-			l.loadPeerState(ctx)
+			l.loadPeerState(ctx, FromAny)
 		}
 	}
 }
 
+// askPeer asks another VM for changes if that may replace a read of the store, and reports
+// whether it does.
+func (l *mirrorLoop) askPeer(ctx context.Context) bool {
+	missed := l.missedUpdate > 0
+	readAge := l.Distributor.ReadAge()
+	asks := readAge > l.Distributor.MaxAge()
+	if !l.listed || !missed && !asks {
+		return false
+	}
+	from := FromReader
+	if missed {
+		from = FromAny
+	}
+	answered, recent := l.loadPeerState(ctx, from)
+	if recent {
+		return true
+	}
+	if !answered || !asks || time.Since(l.state.asOf) >= readAge {
+		return false
+	}
+	l.nextRead = time.Now().Add(peerRetryDelay)
+	return true
+}
+
 // loadPeerState obtains the changes that are missing here from another VM, or its
-// complete state if nothing is known. It reports whether the state is recent now.
-func (l *mirrorLoop) loadPeerState(ctx context.Context) bool {
-	known := l.state.revision
-	u, err := l.Distributor.State(ctx, known)
-	if err != nil || u.Revision < l.missedUpdate || u.Revision < known || u.After > known {
+// complete state if nothing is known. It reports whether a VM has answered, and whether the
+// state is recent now and lacks no change that is known to exist.
+func (l *mirrorLoop) loadPeerState(ctx context.Context, from Source) (answered, recent bool) {
+	known, missed := l.state.revision, l.missedUpdate
+	u, err := l.Distributor.State(ctx, known, from)
+	if err != nil || u.Revision < missed || u.Revision < known || u.After > known {
 		l.Log.Debug().Err(err).Uint64("known", known).Uint64("at", u.Revision).Msg("no state available from other VMs")
-		return false
+		return err == nil, false
+	}
+	if time.Since(l.state.asOf) <= u.Age && missed == 0 {
+		return true, false
 	}
 	l.Log.Info().Uint64("known", known).Uint64("after", u.After).Uint64("at", u.Revision).Dur("age", u.Age).
 		Int("items", len(u.Items)).Msg("state of another VM taken")
@@ -239,7 +280,7 @@
 	l.listed, l.missedUpdate = true, 0
 	l.advance(u.Revision, u.Age)
 	l.apply(items)
-	return u.Age < time.Duration(maxPeerAge*float64(l.Distributor.MaxAge()))
+	return true, missed > 0 || u.Age < time.Duration(maxPeerAge*float64(l.Distributor.MaxAge()))
 }
 
 // receive applies an update from another VM. If changes between the revision known here
@@ -287,6 +328,7 @@
 	}
 	l.reportReachability(ctx, err)
 	if err != nil {
+		l.retryDelay = max(l.retryDelay, l.firstRetryDelay())
 		l.nextRead = time.Now().Add(l.retryDelay)
 		l.retryDelay = min(2*l.retryDelay, l.maxRetryDelay())
 		return
@@ -317,6 +359,15 @@
 	})
 }
 
+// firstRetryDelay returns the delay after the first of several failing calls. A VM that
+// steps in for others leaves it to them to notice quickly that the store is back.
+func (l *mirrorLoop) firstRetryDelay() time.Duration {
+	if l.state.revision > 0 && l.Distributor.ReadAge() > l.Distributor.MaxAge() {
+		return l.Distributor.MaxAge()
+	}
+	return minRetryDelay
+}
+
 // maxRetryDelay returns the longest delay between failing calls.
 func (l *mirrorLoop) maxRetryDelay() time.Duration {
 	if l.state.revision == 0 {
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -87,6 +87,8 @@
 	reachable []bool
 	// peers are the VMs that State asks.
 	peers []*replica
+	// readAge is the result of ReadAge.
+	readAge time.Duration
 }
 
 func newReplica(l *memoryFeed) *replica {
@@ -114,13 +116,13 @@
 func (v *replica) Refreshed(r uint64, a time.Duration)  { v.revision, v.age = r, a }
 func (v *replica) Data(key string) ([]byte, bool)       { d, ok := v.values[key]; return []byte(d), ok }
 func (v *replica) MaxAge() time.Duration                { return time.Second }
-func (v *replica) AsksPeers() bool                      { return len(v.peers) > 0 }
+func (v *replica) ReadAge() time.Duration               { return v.readAge }
 func (v *replica) Publish(u Update)                     { v.sent = append(v.sent, u) }
 func (v *replica) Updates() <-chan Update               { return v.received }
 
 // State returns the newest changes or state of the peers, packed and unpacked again as on its way
 // to another process.
-func (v *replica) State(_ context.Context, after uint64) (Update, error) {
+func (v *replica) State(_ context.Context, after uint64, _ Source) (Update, error) {
 	var newest Update
 	for _, p := range v.peers {
 		if u := p.Mirror.State(after); u.Revision > newest.Revision {
@@ -319,7 +321,7 @@
 		case 6:
 			asking := replicas[pick.Draw(r, "asking")]
 			asking.peers = []*replica{replicas[pick.Draw(r, "asked")]}
-			asking.loadPeerState(context.Background())
+			asking.loadPeerState(context.Background(), FromAny)
 		}
 	}
 	l.failing = false
@@ -328,7 +330,7 @@
 		if v.peers = replicas[:1]; i == 0 || !fromPeer {
 			v.readAll()
 		} else {
-			v.loadPeerState(context.Background())
+			v.loadPeerState(context.Background(), FromAny)
 		}
 		if !maps.Equal(v.values, l.values()) {
 			r.Fatalf("VM %d has %v, the store holds %v", i, v.values, l.values())
@@ -621,3 +623,42 @@
 	v.step(context.Background())
 	assert.DeepEqual(t, v.values, l.values())
 }
+
+// TestMirrorAsksPeer checks when a VM whose state is outdated reads the store, and when it
+// relies on another VM that it asks.
+func TestMirrorAsksPeer(t *testing.T) {
+	const readAge = 3 * time.Second
+	cases := []struct {
+		name string
+		// age is the age of the VM's own state, peerAge that of the other VM's; negative
+		// if no other VM answers.
+		age, peerAge time.Duration
+		readAge      time.Duration
+		wantRead     bool
+	}{
+		{"the other VM has recent state", 2 * time.Second, 100 * time.Millisecond, readAge, false},
+		{"the other VM is outdated as well", 2 * time.Second, 2 * time.Second, readAge, false},
+		{"the other VM has been outdated for long", 4 * time.Second, 4 * time.Second, readAge, true},
+		{"no other VM answers", 2 * time.Second, -1, readAge, true},
+		{"first VM of its data centre", 2 * time.Second, 100 * time.Millisecond, time.Second, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newMemoryFeed()
+			l.write("a", "1")
+			v, peer := newReplica(l), newReplica(l)
+			v.readAll()
+			l.write("b", "2")
+			peer.readAll()
+			v.readAge = c.readAge
+			v.state.asOf, v.nextRead = time.Now().Add(-c.age), time.Now()
+			if peer.state.asOf = time.Now().Add(-c.peerAge); c.peerAge >= 0 {
+				v.peers = []*replica{peer}
+			}
+			calls := l.calls
+			v.step(context.Background())
+			assert.Equal(t, l.calls > calls, c.wantRead)
+			assert.Equal(t, v.values["b"] == "2", c.wantRead || c.peerAge < c.age)
+		})
+	}
+}
