lhstore, lhdemo: release the compaction lease in all cases, name failed deletions, reject negative floods

TestCompactReleasesLease, TestDeleteError and a case of the invalid experiments failed before and pass now.

--- a/lhdemo/experiment.go
+++ b/lhdemo/experiment.go
@@ -71,6 +71,7 @@
 		{x.Hold >= 0 && x.Hold <= MaxHold, fmt.Sprintf("hold: must be 0 to %v", MaxHold)},
 		{x.Bytes >= 0 && x.Bytes <= maxBytes, fmt.Sprintf("bytes: must be 0 to %d", maxBytes)},
 		{last <= MaxSpan, fmt.Sprintf("events: must start within %v", MaxSpan)},
+		{x.Flood.Factor >= 0, "flood: must not be negative"},
 		{x.Flood.Factor == 0 || x.Layout.Work > 0, "flood: needs a positive work time to compute the capacity"},
 	}
 	for _, r := range rules {
--- a/lhdemo/experiment_test.go
+++ b/lhdemo/experiment_test.go
@@ -149,6 +149,7 @@
 		{"event beyond the span limit", func(x *Experiment) { x.Events = []Event{{At: MaxSpan + 1}} }},
 		{"events out of order", func(x *Experiment) { x.Events = []Event{{At: 2}, {At: 1}} }},
 		{"flood without work time", func(x *Experiment) { x.Flood.Factor, x.Layout.Work = 1, 0 }},
+		{"negative flood", func(x *Experiment) { x.Flood.Factor = -1 }},
 		{"flood exceeds rate", func(x *Experiment) { x.Flood.Factor = 1000 }},
 	}
 	for _, c := range cases {
--- a/lhstore/client.go
+++ b/lhstore/client.go
@@ -105,14 +105,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
+	action := "write " + key
+	if method == http.MethodDelete {
+		action = "delete " + key
+	}
 	resp, err := c.do(ctx, method, keyPath(key), header, data)
 	if err != nil {
-		return "", lhcode.Wrap(lhcode.OutcomeUnknown, err, "write "+key)
+		return "", lhcode.Wrap(lhcode.OutcomeUnknown, err, action)
 	}
 	if resp.status >= http.StatusInternalServerError {
-		return "", lhcode.Newf(lhcode.OutcomeUnknown, "write %s: the store responded with status %d", key, resp.status)
+		return "", lhcode.Newf(lhcode.OutcomeUnknown, "%s: the store responded with status %d", action, resp.status)
 	}
-	return resp.etag, resp.statusError("write " + key)
+	return resp.etag, resp.statusError(action)
 }
 
 // List returns the keys with the given prefix, in order.
--- a/lhstore/compact.go
+++ b/lhstore/compact.go
@@ -78,6 +78,16 @@
 	if err != nil {
 		return 0, err
 	}
+	removed, err = c.compactUnder(ctx, lease)
+	// Others must not wait for the lease to expire, whatever the outcome.
+	if releaseErr := c.store.Release(ctx, compactionLease, c.holder); err == nil {
+		err = releaseErr
+	}
+	return removed, err
+}
+
+// compactUnder removes garbage while the lease is valid.
+func (c *Compactor) compactUnder(ctx context.Context, lease Lease) (removed int, err error) {
 	before, garbage, err := c.garbage(ctx)
 	if err != nil || len(garbage) == 0 {
 		return 0, err
@@ -85,11 +95,7 @@
 	if err := c.raiseFence(ctx, lease, before); err != nil {
 		return 0, err
 	}
-	removed, err = c.deleteGarbage(ctx, lease, garbage)
-	if err != nil {
-		return removed, err
-	}
-	return removed, c.store.Release(ctx, compactionLease, c.holder)
+	return c.deleteGarbage(ctx, lease, garbage)
 }
 
 // deleteGarbage deletes the listed values that have not been written since, until the
--- a/lhstore/compact_test.go
+++ b/lhstore/compact_test.go
@@ -63,6 +63,64 @@
 	assert.DeepEqual(t, s.Files(), map[string]string{"a": "text 9"})
 }
 
+// TestCompactReleasesLease checks that another VM can compact at once after a run that found
+// no garbage, or that failed.
+func TestCompactReleasesLease(t *testing.T) {
+	cases := []struct {
+		name string
+		// failing is the kind of call that fails, if any.
+		failing string
+		garbage bool
+		want    lhcode.Code
+	}{
+		{"no garbage", "", false, lhcode.OK},
+		{"garbage", "", true, lhcode.OK},
+		{"listing fails", "list", true, lhcode.StoreUnavailable},
+		{"deletion fails", "delete", true, lhcode.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, store := startPlatform(t)
+			applyText(t, store, "", "x")
+			if c.garbage {
+				applyText(t, store, "x", "y")
+			}
+			failing := &failingClient{Client: store, at: c.failing}
+			_, err := lhstore.NewCompactor(failing, "vm-1", 1, time.Now).Compact(t.Context())
+			assert.Equal(t, lhcode.Of(err), c.want)
+			_, err = lhstore.NewCompactor(store, "vm-2", 1, time.Now).Compact(t.Context())
+			assert.NilError(t, err)
+		})
+	}
+}
+
+// failingClient fails all calls of the kind at.
+type failingClient struct {
+	*lhstore.Client
+	at string
+}
+
+func (c *failingClient) List(ctx context.Context, prefix string) ([]lhstore.Entry, error) {
+	if c.at == "list" {
+		return nil, lhcode.New(lhcode.StoreUnavailable, "list: down")
+	}
+	return c.Client.List(ctx, prefix)
+}
+
+func (c *failingClient) Delete(ctx context.Context, key, etag string) error {
+	if c.at == "delete" {
+		return lhcode.New(lhcode.OutcomeUnknown, "delete: down")
+	}
+	return c.Client.Delete(ctx, key, etag)
+}
+
+// TestDeleteError checks that the error of a failed deletion names what failed.
+func TestDeleteError(t *testing.T) {
+	_, store := startPlatform(t)
+	err := store.Delete(t.Context(), "missing", "no such tag")
+	assert.ErrorContains(t, err, "delete missing")
+}
+
 // TestPausedCompaction pauses the lease holder before its swap of the head or before its
 // deletes, until its lease has expired and an apply has made the garbage part of the
 // configuration again. A holder that deletes regardless of ETags destroys it.
