lhstore, lhentry: make two known flaky tests independent of luck

Change: the second VM does not run, so that it learns from its peer alone, and the test waits until that has the revision; it also checks what is delivered. A port is taken that is free at all addresses.

--- a/lhentry/marked_test.go
+++ b/lhentry/marked_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -71,11 +72,47 @@
 	store   *lhplatformstand.Store
 	servers []*lhplatformstand.Server
 	vms     []*markedVM
-	caller  *lhplatformstand.Caller
+	// port is the one at which VMs and callers receive packets.
+	port   uint16
+	caller *lhplatformstand.Caller
 	// requests counts the requests and makes each one unique.
 	requests int
 }
 
+var callerAddress = netip.MustParseAddr("127.0.1.1")
+
+func vmAddress(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}) }
+
+// freePort returns a port that is free at the addresses of all VMs and of the caller.
+func freePort(t *testing.T, vms int) uint16 {
+	t.Helper()
+	addresses := []netip.Addr{callerAddress}
+	for i := range vms {
+		addresses = append(addresses, vmAddress(i))
+	}
+	for range 100 {
+		if port, ok := tryPort(t, addresses); ok {
+			return port
+		}
+	}
+	t.Fatal("no port is free at all addresses")
+	return 0
+}
+
+// tryPort returns a port that is free at the first address and reports whether it is free
+// at all of them.
+func tryPort(t *testing.T, addresses []netip.Addr) (port uint16, free bool) {
+	for _, a := range addresses {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a, port)))
+		if err != nil {
+			return 0, false
+		}
+		defer func() { assert.NilError(t, conn.Close()) }()
+		port = conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	}
+	return port, true
+}
+
 // newMarkedFleet starts a fleet. Each VM has its own address; all receive packets on the
 // same port.
 func newMarkedFleet(t *testing.T, vms, servers int) *markedFleet {
@@ -83,10 +120,11 @@
 	f := &markedFleet{t: t, store: lhplatformstand.NewStore()}
 	t.Cleanup(f.store.Close)
 	f.configure(1, markedService)
+	f.port = freePort(t, vms)
 	for i := range vms {
 		f.startVM(i)
 	}
-	port := f.vms[0].Data().Port()
+	port := f.port
 	for i := range servers {
 		s, err := lhplatformstand.NewServer(uint32(i+1), "orders", fmt.Sprintf("dc-%d", i%2), port)
 		assert.NilError(t, err)
@@ -95,7 +133,7 @@
 		f.servers = append(f.servers, s)
 	}
 	var err error
-	f.caller, err = lhplatformstand.NewCaller(netip.AddrPortFrom(netip.MustParseAddr("127.0.1.1"), port))
+	f.caller, err = lhplatformstand.NewCaller(netip.AddrPortFrom(callerAddress, port))
 	assert.NilError(t, err)
 	t.Cleanup(f.caller.Close)
 	f.caller.Spray = true
@@ -123,13 +161,10 @@
 // startVM starts or restarts VM number i.
 func (f *markedFleet) startVM(i int) *markedVM {
 	f.t.Helper()
-	address := netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)})
+	address := vmAddress(i)
 	s := lhconf.DefaultMarkedSettings()
 	s.Name, s.DataCentre, s.Platform = fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", i%2), f.store.URL()
-	s.Data = netip.AddrPortFrom(address, 0)
-	if len(f.vms) > 0 {
-		s.Data = netip.AddrPortFrom(address, f.vms[0].Data().Port())
-	}
+	s.Data = netip.AddrPortFrom(address, f.port)
 	for _, v := range f.vms {
 		s.Contacts = append(s.Contacts, v.Control())
 	}
--- a/lhstore/runner_test.go
+++ b/lhstore/runner_test.go
@@ -107,15 +107,22 @@
 	assert.Equal(t, lhcode.Of(joined.fetch(t, old)), lhcode.RevisionLower)
 }
 
+// TestRunnerContentFromPeer checks that a VM that does not read the store gets each revision,
+// or several at once, from a peer.
 func TestRunnerContentFromPeer(t *testing.T) {
 	_, store := startPlatform(t)
-	first, second := startVM(t, store, true), startVM(t, store, false)
-	for i := range 5 {
+	first := startVM(t, store, true)
+	// The second VM does not run, so that it learns revisions only from its peer.
+	second := vm{delivered: make(chan uint64, 10)}
+	second.Runner = lhstore.NewRunner(store,
+		func() bool { return false }, func(c lhconf.Config) { second.delivered <- c.Revision })
+	for i := range uint64(5) {
 		applyText(t, store, map[bool]string{true: fmt.Sprint(i)}[i > 0], fmt.Sprint(i+1))
-		first.wait(t, uint64(i+1))
+		poll.WaitOn(t, hasRevision(first, i+1), poll.WithDelay(time.Millisecond))
 		if i%2 == 0 {
 			assert.NilError(t, second.fetch(t, first))
 			assert.Equal(t, second.Position(), first.Position())
+			assert.Equal(t, <-second.delivered, i+1)
 		}
 	}
 	_, _, err := second.Content(t.Context(), 0, 6)
