lhspread: don't take a VM of an older build for absent

Cause: a build without Observe answers it with "unimplemented", which counted as an unreachable VM: it got no updates for 2 s, and after 30 s its entry would have been removed. TestOlderBuild failed before and passes now.

--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -241,7 +241,12 @@
 	defer cancel()
 	client := lhspreadv1.NewSpreadServiceClient(n.http, "http://"+m.Control.String())
 	n.calls.Add(1)
-	if err := n.send(ctx, d, client); err != nil {
+	err := n.send(ctx, d, client)
+	if connect.CodeOf(err) == connect.CodeUnimplemented {
+		// The VM runs an older build and takes other deliveries.
+		return false
+	}
+	if err != nil {
 		n.failures.Add(1)
 		absence := n.failing.record(m, time.Now())
 		n.log.Debug().Err(err).Str("peer", m.Name).Uint64("at", d.revision).Dur("absent", absence).Msg("failed to deliver update")
--- a/lhspread/node_test.go
+++ b/lhspread/node_test.go
@@ -5,13 +5,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/laburnumhollow/laburnumhollow/lhspread/lhspreadv1"
 	"github.com/laburnumhollow/laburnumhollow/lhstore"
 )
 
@@ -91,6 +94,32 @@
 	assert.Equal(t, n.Counters()["news_dropped"], uint64(5))
 }
 
+// TestOlderBuild checks that a VM whose build does not know observations still gets updates
+// and does not count as absent.
+func TestOlderBuild(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(lhspreadv1.NewSpreadServiceHandler(olderHandler{}))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	old := Member{Name: "old", DataCentre: "d", Control: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	n := NewNode(NodeSettings{Self: "a", Absent: func(m Member) { t.Errorf("%s is absent", m.Name) }, Log: zerolog.Nop()})
+	n.failing.record(old, time.Now().Add(-lhstore.AbsentTimeout))
+	observations := delivery{observations: []Observation{{Server: 1, SeenAt: time.Now()}}}
+	assert.Assert(t, !n.call(context.Background(), observations, old), "its children are called instead")
+	assert.Assert(t, n.call(context.Background(), delivery{revision: 1, readAt: time.Now()}, old))
+}
+
+// olderHandler accepts updates and nothing else.
+type olderHandler struct {
+	lhspreadv1.UnimplementedSpreadServiceHandler
+}
+
+func (olderHandler) Tell(
+	context.Context, *connect.Request[lhspreadv1.TellRequest],
+) (*connect.Response[lhspreadv1.TellResponse], error) {
+	return connect.NewResponse(&lhspreadv1.TellResponse{}), nil
+}
+
 // TestAbsentMember checks that a VM is reported as absent once calls have failed for
 // AbsentTimeout without a success in between, and not if it has a new address meanwhile.
 func TestAbsentMember(t *testing.T) {
