--- a/lhmark/choose_test.go
+++ b/lhmark/choose_test.go
@@ -108,3 +108,11 @@
 	none := Route{TrafficSplit: []ServiceWeight{{"x", 0}}}
 	assert.Equal(t, none.pickService(packet(1, 0).ID), "x")
 }
+
+// TestServersWithoutSlots checks that servers that declare no slots get flows.
+func TestServersWithoutSlots(t *testing.T) {
+	first, second := server(1, "a"), server(2, "b")
+	first.Slots, second.Slots = 0, 0
+	v := newVM(t, first, second)
+	assert.Assert(t, v.open(1) != 0)
+}
--- a/lhmark/pool.go
+++ b/lhmark/pool.go
@@ -14,7 +14,7 @@
 	// data centre in them.
 	servers     []*Server
 	dataCentres map[string]span
-	// maxSlots is the largest number of slots of a server.
+	// maxSlots is the largest number of slots of a server; at least 1.
 	maxSlots uint32
 }
 
@@ -22,7 +22,7 @@
 type span struct{ start, end int }
 
 func newPool(servers []*Server) *pool {
-	p := &pool{servers: servers, dataCentres: make(map[string]span)}
+	p := &pool{servers: servers, dataCentres: make(map[string]span), maxSlots: 1}
 	slices.SortFunc(p.servers, func(a, b *Server) int {
 		return cmp.Or(strings.Compare(a.DataCentre, b.DataCentre), strings.Compare(a.Name, b.Name))
 	})
