--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -25,6 +25,8 @@
 	Items []Item
 	// Revision is the store's revision at the time of the response.
 	Revision uint64
+	// Era is the number of times that the store has been restored from a copy.
+	Era uint64
 	// More is set if the listing continues after the last item.
 	More bool
 }
@@ -340,6 +342,10 @@
 		l.listed, l.nextRead = false, time.Now()
 		return
 	}
+	if relisted || len(result.items) > 0 {
+		l.Log.Info().Uint64("known", before).Uint64("at", result.revision).Uint64("era", result.era).
+			Int("items", len(result.items)).Bool("listed", relisted).Msg("store read")
+	}
 	if relisted {
 		l.state.startHistory(result.revision)
 	}
@@ -382,6 +388,8 @@
 	items    []Item
 	revision uint64
 	asOf     time.Time
+	// era is the era of the store that responded.
+	era uint64
 }
 
 // fetch lists or watches the store.
@@ -394,22 +402,22 @@
 			defer cancel()
 			l.listTimeout = min(2*l.listTimeout, maxInitialListTimeout)
 		}
-		items, revision, err := l.list(ctx)
-		return readResult{items, revision, start}, err
+		items, at, err := l.list(ctx)
+		return readResult{items, at.Revision, start, at.Era}, err
 	}
 	page, err := l.Feed.Changes(ctx, l.state.revision, MirrorWait)
 	switch {
 	case err != nil:
 		return readResult{}, err
 	case len(page.Items) > 0:
-		return readResult{page.Items, max(l.state.revision, page.Revision), start}, nil
+		return readResult{page.Items, max(l.state.revision, page.Revision), start, page.Era}, nil
 	case page.Revision != l.state.revision:
 		return readResult{}, nil
 	case time.Since(start) >= MirrorWait:
 		// The store has responded at the end of the wait.
 		start = start.Add(MirrorWait)
 	}
-	return readResult{nil, page.Revision, start}, nil
+	return readResult{nil, page.Revision, start, page.Era}, nil
 }
 
 // reportReachability tells the consumer if the store became reachable or unreachable.
@@ -424,16 +432,16 @@
 // list returns all items of the store and a deletion for each known key that is not
 // listed. Pages are not a consistent snapshot, so watches start at the revision of the
 // first page.
-func (l *mirrorLoop) list(ctx context.Context) ([]Item, uint64, error) {
+func (l *mirrorLoop) list(ctx context.Context) ([]Item, Page, error) {
 	var all []Item
-	first := uint64(0)
+	var first Page
 	for after, more := "", true; more; {
 		page, err := l.Feed.List(ctx, after)
 		if err != nil {
-			return nil, 0, err
+			return nil, Page{}, err
 		}
-		if first == 0 {
-			first = page.Revision
+		if first.Revision == 0 {
+			first = page
 		}
 		all = append(all, page.Items...)
 		if more = page.More && len(page.Items) > 0; more {
@@ -441,7 +449,7 @@
 		}
 	}
 	l.listed = true
-	return append(all, l.state.deletions(all, first)...), first, nil
+	return append(all, l.state.deletions(all, first.Revision)...), first, nil
 }
 
 // changedAfter returns the items that changed after a revision.
@@ -473,7 +481,12 @@
 // apply passes the items that are newer than the known state to the consumer, and
 // returns those that changed the consumer's state.
 func (l *mirrorLoop) apply(items []Item) []Item {
-	newer := l.state.merge(items, time.Now())
+	newer, known := l.state.merge(items, time.Now())
+	if n := len(known); n > 0 {
+		last := known[n-1]
+		l.Log.Info().Int("items", len(items)).Int("dropped", n).Str("key", last.Key).Uint64("at", last.Revision).
+			Uint64("known", l.state.keyRevision(last.Key)).Msg("items dropped as already known")
+	}
 	if len(newer) == 0 {
 		return nil
 	}
--- a/lhstore/mirror_state.go
+++ b/lhstore/mirror_state.go
@@ -41,17 +41,17 @@
 	s.revision, s.asOf = revision, asOf
 }
 
-// merge records items and returns those that are newer than the known state of their
-// keys.
-func (s *mirrorState) merge(items []Item, now time.Time) []Item {
+// merge records items. It returns those that are newer than the known state of their
+// keys, and the others, which it ignores.
+func (s *mirrorState) merge(items []Item, now time.Time) (newer, known []Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.keys == nil {
 		s.keys = make(map[string]keyState)
 	}
-	var newer []Item
 	for _, it := range items {
 		if k, ok := s.keys[it.Key]; ok && it.Revision <= k.revision {
+			known = append(known, it)
 			continue
 		}
 		k := keyState{revision: it.Revision}
@@ -69,7 +69,7 @@
 		}
 		return expired
 	})
-	return newer
+	return newer, known
 }
 
 // keyRevision returns the revision of the last known change of a key.
