--- a/lhentry/marked_test.go
+++ b/lhentry/marked_test.go
@@ -451,3 +451,49 @@
 	})
 	f.request(flow)
 }
+
+// TestMarkedRestoredStore guards against a configuration that is confirmed after the store
+// was restored from a copy and never takes effect, because its revision was given before.
+func TestMarkedRestoredStore(t *testing.T) {
+	cases := []struct {
+		name string
+		// unseen is the number of changes that the store accepts before VMs reach it again.
+		unseen int
+	}{
+		{"revision given again", 0},
+		{"history passes the known revision unseen", 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newMarkedFleet(t, 3, 2)
+			f.await("all VMs are registered", func() bool { return f.store.Members() == 3 })
+			flow := f.open()
+			inForce := func(version uint64) func() bool {
+				return func() bool {
+					return !slices.ContainsFunc(f.vms, func(v *markedVM) bool { return v.Dump().Revision != version })
+				}
+			}
+			copied := f.store.Backup()
+			f.configure(2, markedService)
+			f.configure(3, markedService)
+			f.await("the configuration is in force", inForce(3))
+
+			f.store.SetFault(lhplatformstand.FaultReset)
+			f.store.Restore(copied)
+			f.configure(3, markedService)
+			if c.unseen == 0 {
+				f.store.SetFault(lhplatformstand.FaultNone)
+			}
+			other := netip.MustParseAddrPort("198.18.0.2:80")
+			f.configure(5, markedService, other)
+			for i := range c.unseen {
+				f.servers[0].Register(f.store, "ready", i+2)
+			}
+			f.store.SetFault(lhplatformstand.FaultNone)
+			f.await("the configuration is in force after the restore", inForce(5))
+			_, err := f.caller.Open(other)
+			assert.NilError(t, err)
+			f.request(flow)
+		})
+	}
+}
