--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -215,7 +215,7 @@
 		Listed: func() (listed, known bool) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			return m.members[s.Name] == self, m.counters.storeRevision.Load() > 0
+			return m.members[s.Name] == self, !m.counters.knownRevision().IsZero()
 		},
 		Log: m.log,
 	}.Run(ctx)
@@ -231,11 +231,11 @@
 	defer cancel()
 	key := m.deps.Codec.MemberKey(gone.Name)
 	at := m.mirror.KeyRevision(key)
-	if err := m.deps.Store.Remove(ctx, key, at); err != nil {
-		m.log.Debug().Err(err).Str("peer", gone.Name).Uint64("at", at).Msg("failed to remove entry of an absent VM")
+	if err := m.deps.Store.Remove(ctx, key, at.Number); err != nil {
+		m.log.Debug().Err(err).Str("peer", gone.Name).Stringer("at", at).Msg("failed to remove entry of an absent VM")
 		return
 	}
-	m.log.Info().Str("peer", gone.Name).Str("datacentre", gone.DataCentre).Uint64("at", at).Msg("entry of an absent VM removed")
+	m.log.Info().Str("peer", gone.Name).Str("datacentre", gone.DataCentre).Stringer("at", at).Msg("entry of an absent VM removed")
 }
 
 // runSpread distributes changes of the store to other VMs until ctx is done.
--- a/lhentry/marked_forward.go
+++ b/lhentry/marked_forward.go
@@ -101,7 +101,7 @@
 	}
 	line.Stringer("caller", ev.Key.CallerAddr()).Stringer("to", ev.Key.ServiceAddr()).
 		Uint32("seq", ev.Seq).Uint64("revision", m.engine.Table().Revision()).
-		Uint64("store", m.counters.storeRevision.Load()).Dur("age", m.storeAge(ev.Now))
+		Stringer("store", m.counters.knownRevision()).Dur("age", m.storeAge(ev.Now))
 	if d.Route != nil {
 		line.Str("route", d.Route.Name)
 	}
--- a/lhentry/marked_state.go
+++ b/lhentry/marked_state.go
@@ -8,19 +8,30 @@
 
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
 	"github.com/laburnumhollow/laburnumhollow/lhops"
+	"github.com/laburnumhollow/laburnumhollow/lhstore"
 )
 
 // markedCounters holds the counters of a Marked process, which never decrease.
 type markedCounters struct {
 	received, invalid, sendFailed, placed, placedAgain, storeLost, ignoredEntries atomic.Uint64
-	// storeRevision is the revision up to which the state of the store is known.
-	storeRevision atomic.Uint64
+	// storeRevision is the revision up to which the state of the store is known; nil for
+	// none.
+	storeRevision atomic.Pointer[lhstore.Revision]
 	// storeTime is the monotonic time at which that state was current, in nanoseconds.
 	storeTime atomic.Int64
 	actions   [lhflow.Reset + 1]atomic.Uint64
 	reasons   [lhflow.ReasonCount]atomic.Uint64
 }
 
+// knownRevision returns the revision up to which the state of the store is known; zero for
+// none.
+func (c *markedCounters) knownRevision() lhstore.Revision {
+	if at := c.storeRevision.Load(); at != nil {
+		return *at
+	}
+	return lhstore.Revision{}
+}
+
 // values returns all counters by name.
 func (c *markedCounters) values() map[string]uint64 {
 	sums := map[string]uint64{
@@ -70,7 +81,8 @@
 		Counters: m.counters.values(),
 	}
 	maps.Copy(d.Counters, m.spread.Counters())
-	d.Counters["store_revision"] = m.counters.storeRevision.Load()
+	at := m.counters.knownRevision()
+	d.Counters["store_era"], d.Counters["store_revision"] = at.Era, at.Number
 	d.Counters["lines_omitted"] = m.flowLog.omitted.Load()
 	for name, servers := range t.Serving() {
 		state := lhops.ServiceState{Name: name, Proto: lhflow.TCP}
--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -75,11 +75,11 @@
 }
 
 // Refreshed implements lhstore.Consumer.
-func (s *storeConsumer) Refreshed(revision uint64, age time.Duration) {
+func (s *storeConsumer) Refreshed(revision lhstore.Revision, age time.Duration) {
 	m := (*Marked)(s)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.counters.storeRevision.Store(revision)
+	m.counters.storeRevision.Store(&revision)
 	m.counters.storeTime.Store(int64(m.now() - age))
 	m.directory.Refresh(m.now(), age)
 }
--- a/lhspread/load_test.go
+++ b/lhspread/load_test.go
@@ -31,11 +31,13 @@
 
 // countingStore is a store in memory.
 type countingStore struct {
-	mu       sync.Mutex
-	revision uint64
-	items    map[string]lhstore.Item
-	history  []lhstore.Item
-	changed  chan struct{}
+	mu            sync.Mutex
+	era, revision uint64
+	items         map[string]lhstore.Item
+	// history holds the changes after the revision dropped.
+	history []lhstore.Item
+	dropped uint64
+	changed chan struct{}
 	// refused holds the names of the VMs whose calls fail.
 	refused map[string]bool
 	calls   int
@@ -58,6 +60,26 @@
 	s.changed = make(chan struct{})
 }
 
+// backup returns a copy of the contents.
+func (s *countingStore) backup() *countingStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &countingStore{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// restore replaces the contents by a copy.
+func (s *countingStore) restore(b *countingStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items, s.history, s.dropped = b.revision, maps.Clone(b.items), nil, b.revision
+}
+
+// at returns the present revision. The caller holds s.mu.
+func (s *countingStore) at() lhstore.Revision {
+	return lhstore.Revision{Era: s.era, Number: s.revision}
+}
+
 func (s *countingStore) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,7 +120,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return lhstore.Page{Items: slices.Collect(maps.Values(c.items)), Revision: c.revision}, nil
+	return lhstore.Page{Items: slices.Collect(maps.Values(c.items)), Revision: c.at()}, nil
 }
 
 func (c storeClient) Changes(ctx context.Context, after uint64, wait time.Duration) (lhstore.Page, error) {
@@ -108,7 +130,11 @@
 	timer := time.After(wait)
 	for {
 		c.mu.Lock()
-		page := lhstore.Page{Revision: c.revision}
+		if after < c.dropped || after > c.revision {
+			c.mu.Unlock()
+			return lhstore.Page{}, lhcode.New(lhcode.HistoryLost, "dropped")
+		}
+		page := lhstore.Page{Revision: c.at()}
 		for _, it := range c.history {
 			if it.Revision > after {
 				page.Items = append(page.Items, it)
@@ -166,12 +192,12 @@
 	return string(data)
 }
 
-func (v *fleetVM) ReachabilityChanged(bool, error)   {}
-func (v *fleetVM) Refreshed(uint64, time.Duration)   {}
-func (v *fleetVM) MaxAge() time.Duration             { return v.order.MaxAge() }
-func (v *fleetVM) ReadAge() time.Duration            { return v.order.ReadAge() }
-func (v *fleetVM) Updates() <-chan lhstore.Update    { return v.updates }
-func (v *fleetVM) send(u lhstore.Update, n treeNode) { v.fleet.deliver(v, u, n) }
+func (v *fleetVM) ReachabilityChanged(bool, error)           {}
+func (v *fleetVM) Refreshed(lhstore.Revision, time.Duration) {}
+func (v *fleetVM) MaxAge() time.Duration                     { return v.order.MaxAge() }
+func (v *fleetVM) ReadAge() time.Duration                    { return v.order.ReadAge() }
+func (v *fleetVM) Updates() <-chan lhstore.Update            { return v.updates }
+func (v *fleetVM) send(u lhstore.Update, n treeNode)         { v.fleet.deliver(v, u, n) }
 
 func (v *fleetVM) Publish(u lhstore.Update) {
 	if v.order.Publishes() {
@@ -181,10 +207,10 @@
 	}
 }
 
-func (v *fleetVM) State(_ context.Context, after uint64, from lhstore.Source) (lhstore.Update, error) {
+func (v *fleetVM) State(_ context.Context, after lhstore.Revision, from lhstore.Source) (lhstore.Update, error) {
 	time.Sleep(peerLatency)
 	m, ok := v.order.source(from, v.fleet.randomInt)
-	if !ok || after == 0 {
+	if !ok || after.IsZero() {
 		return lhstore.Update{}, lhcode.New(lhcode.PeerUnreachable, "no other VM")
 	}
 	return v.fleet.vms[m.Name].mirror.State(after), nil
@@ -282,12 +308,16 @@
 		refused int
 		// away is how long the store refuses all VMs.
 		away time.Duration
+		// restored is set if the store then comes back from a copy of before the outage.
+		restored bool
 	}{
-		{"hardly any change", 20 * time.Second, 0, 0, 0},
-		{"a change every 100 ms", 100 * time.Millisecond, 0, 0, 0},
-		{"lost updates", 100 * time.Millisecond, 0.01, 0, 0},
-		{"first VM refused by the store", time.Second, 0, 1, 0},
-		{"store away for 5 s", time.Second, 0, 0, 5 * time.Second},
+		{"hardly any change", 20 * time.Second, 0, 0, 0, false},
+		{"a change every 100 ms", 100 * time.Millisecond, 0, 0, 0, false},
+		{"lost updates", 100 * time.Millisecond, 0.01, 0, 0, false},
+		{"first VM refused by the store", time.Second, 0, 1, 0, false},
+		{"store away for 5 s", time.Second, 0, 0, 5 * time.Second, false},
+		{"store restored", time.Second, 0, 0, 2 * time.Second, true},
+		{"store restored, lost updates", time.Second, 0.01, 0, 2 * time.Second, true},
 	}
 	for _, c := range cases {
 		for _, vms := range []int{20, 200} {
@@ -299,7 +329,13 @@
 					before, start := f.store.callCount(), time.Now()
 					if c.away > 0 {
 						f.store.setRefused(f.ranked()...)
-						time.AfterFunc(c.away, func() { f.store.setRefused() })
+						copied := f.store.backup()
+						time.AfterFunc(c.away, func() {
+							if c.restored {
+								f.store.restore(copied)
+							}
+							f.store.setRefused()
+						})
 					}
 					last := ""
 					for i := 0; time.Since(start) < time.Minute; i++ {
--- a/lhspread/node.go
+++ b/lhspread/node.go
@@ -43,7 +43,7 @@
 	// contacts are the control addresses of VMs that may have state; state returns the
 	// changes after a revision known to this VM, or its complete state.
 	contacts []netip.AddrPort
-	state    func(after uint64) lhstore.Update
+	state    func(after lhstore.Revision) lhstore.Update
 	// packing is held while the state is collected and packed for another VM.
 	packing sync.Mutex
 	// absent is called, from the goroutine of a call, while a VM has been unreachable
@@ -71,7 +71,7 @@
 	observations []Observation
 	distributed  bool
 	// after to listed are the properties of an update.
-	after, revision uint64
+	after, revision lhstore.Revision
 	// packed holds the items; all calls share it.
 	packed  []byte
 	listed  bool
@@ -87,7 +87,7 @@
 	Contacts []netip.AddrPort
 	// State returns the changes after a revision known to this VM, or its complete state.
 	// It answers the queries of other VMs.
-	State func(after uint64) lhstore.Update
+	State func(after lhstore.Revision) lhstore.Update
 	// Absent is called while a VM has been unreachable for lhstore.AbsentTimeout.
 	Absent func(Member)
 	Log    zerolog.Logger
@@ -148,7 +148,7 @@
 	}
 	packed, err := update.Pack()
 	if err != nil {
-		n.log.Error().Err(err).Uint64("at", update.Revision).Msg("failed to pack update")
+		n.log.Error().Err(err).Stringer("at", update.Revision).Msg("failed to pack update")
 		return
 	}
 	n.enqueue(delivery{
@@ -249,7 +249,7 @@
 	if err != nil {
 		n.failures.Add(1)
 		absence := n.failing.record(m, time.Now())
-		n.log.Debug().Err(err).Str("peer", m.Name).Uint64("at", d.revision).Dur("absent", absence).Msg("failed to deliver update")
+		n.log.Debug().Err(err).Str("peer", m.Name).Stringer("at", d.revision).Dur("absent", absence).Msg("failed to deliver update")
 		if absence >= lhstore.AbsentTimeout {
 			n.absent(m)
 		}
@@ -265,8 +265,8 @@
 		return n.observe(ctx, d, client)
 	}
 	_, err := client.Tell(ctx, connect.NewRequest(&lhspreadv1.TellRequest{
-		After: d.after, Revision: d.revision, Age: uint32(time.Since(d.readAt).Milliseconds()),
-		Changes: d.packed, Listed: d.listed,
+		Era: d.revision.Era, After: d.after.Number, Revision: d.revision.Number,
+		Age: uint32(time.Since(d.readAt).Milliseconds()), Changes: d.packed, Listed: d.listed,
 	}))
 	return err
 }
@@ -281,11 +281,13 @@
 	n := h.node
 	n.received.Add(1)
 	update := lhstore.Update{
-		After: r.Msg.GetAfter(), Revision: r.Msg.GetRevision(), Age: time.Duration(r.Msg.GetAge()) * time.Millisecond,
-		Listed: r.Msg.GetListed(),
+		After:    revisionOf(r.Msg.GetEra(), r.Msg.GetAfter()),
+		Revision: revisionOf(r.Msg.GetEra(), r.Msg.GetRevision()),
+		Age:      time.Duration(r.Msg.GetAge()) * time.Millisecond,
+		Listed:   r.Msg.GetListed(),
 	}
 	if err := update.Unpack(r.Msg.GetChanges()); err != nil {
-		n.log.Warn().Err(err).Uint64("at", update.Revision).Msg("failed to unpack update")
+		n.log.Warn().Err(err).Stringer("at", update.Revision).Msg("failed to unpack update")
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	n.enqueue(delivery{
--- a/lhspread/node_test.go
+++ b/lhspread/node_test.go
@@ -32,7 +32,7 @@
 }
 
 // startWith starts a Node with contacts and a function that returns its state or changes.
-func startWith(t *testing.T, name, dataCentre string, contacts []netip.AddrPort, state func(uint64) lhstore.Update) *testNode {
+func startWith(t *testing.T, name, dataCentre string, contacts []netip.AddrPort, state func(lhstore.Revision) lhstore.Update) *testNode {
 	t.Helper()
 	n := NewNode(NodeSettings{Self: name, Contacts: contacts, State: state, Log: zerolog.Nop()})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,7 +68,7 @@
 	for _, n := range nodes {
 		n.SetMembers(members)
 	}
-	update := lhstore.Update{After: 3, Revision: 5, Items: []lhstore.Item{
+	update := lhstore.Update{After: lhstore.Revision{Era: 2, Number: 3}, Revision: lhstore.Revision{Era: 2, Number: 5}, Items: []lhstore.Item{
 		{Key: "a", Data: []byte("x"), Revision: 4}, {Key: "b", Revision: 5, Deleted: true},
 	}}
 	down := nodes[1]
@@ -106,7 +106,7 @@
 	n.failing.record(old, time.Now().Add(-lhstore.AbsentTimeout))
 	observations := delivery{observations: []Observation{{Server: 1, SeenAt: time.Now()}}}
 	assert.Assert(t, !n.call(context.Background(), observations, old), "its children are called instead")
-	assert.Assert(t, n.call(context.Background(), delivery{revision: 1, readAt: time.Now()}, old))
+	assert.Assert(t, n.call(context.Background(), delivery{revision: lhstore.Revision{Number: 1}, readAt: time.Now()}, old))
 }
 
 // olderHandler accepts updates and nothing else.
@@ -150,7 +150,7 @@
 				n.failing.clear(gone)
 			}
 			n.SetMembers([]Member{{Name: "a", DataCentre: "d"}, c.now})
-			assert.Assert(t, !n.call(context.Background(), delivery{revision: 1, readAt: time.Now()}, c.now))
+			assert.Assert(t, !n.call(context.Background(), delivery{revision: lhstore.Revision{Number: 1}, readAt: time.Now()}, c.now))
 			assert.Equal(t, len(absent) == 1, c.want)
 		})
 	}
--- a/lhspread/state.go
+++ b/lhspread/state.go
@@ -18,15 +18,15 @@
 const maxStateSize = 8 << 20
 
 // State requests the changes after a revision from another VM of the data centre, or, if
-// after is 0, the complete state from all contacts, of which it returns the newest. The
+// after is zero, the complete state from all contacts, of which it returns the newest. The
 // error has lhcode.PeerUnreachable if none was obtained.
-func (n *Node) State(ctx context.Context, after uint64, from lhstore.Source) (lhstore.Update, error) {
-	if after > 0 {
+func (n *Node) State(ctx context.Context, after lhstore.Revision, from lhstore.Source) (lhstore.Update, error) {
+	if !after.IsZero() {
 		return n.fetchChanges(ctx, after, from)
 	}
 	results := make(chan stateResult)
 	for _, c := range n.contacts {
-		go func() { results <- n.fetchState(ctx, c, 0) }()
+		go func() { results <- n.fetchState(ctx, c, lhstore.Revision{}) }()
 	}
 	var newest lhstore.Update
 	var lastErr error
@@ -34,12 +34,12 @@
 		r := <-results
 		if r.err != nil {
 			lastErr = r.err
-		} else if r.state.Revision > newest.Revision {
+		} else if r.state.Revision.Compare(newest.Revision) > 0 {
 			newest = r.state
 		}
 	}
 	switch {
-	case newest.Revision > 0:
+	case !newest.Revision.IsZero():
 		return newest, nil
 	case lastErr != nil:
 		return newest, lhcode.Wrap(lhcode.PeerUnreachable, lastErr, "fetch state from other VMs")
@@ -48,7 +48,7 @@
 }
 
 // fetchChanges requests the changes after a revision from one VM of the data centre.
-func (n *Node) fetchChanges(ctx context.Context, after uint64, from lhstore.Source) (lhstore.Update, error) {
+func (n *Node) fetchChanges(ctx context.Context, after lhstore.Revision, from lhstore.Source) (lhstore.Update, error) {
 	m, ok := n.order.Load().source(from, rand.IntN)
 	if !ok {
 		return lhstore.Update{}, lhcode.New(lhcode.PeerUnreachable, "no other VM is known")
@@ -64,19 +64,19 @@
 }
 
 // fetchState requests the changes after a revision from the VM at a control address.
-func (n *Node) fetchState(ctx context.Context, address netip.AddrPort, after uint64) stateResult {
+func (n *Node) fetchState(ctx context.Context, address netip.AddrPort, after lhstore.Revision) stateResult {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	client := lhspreadv1.NewSpreadServiceClient(n.http, "http://"+address.String(), connect.WithReadMaxBytes(maxStateSize))
 	start := time.Now()
-	response, err := client.State(ctx, connect.NewRequest(&lhspreadv1.StateRequest{After: after}))
+	response, err := client.State(ctx, connect.NewRequest(&lhspreadv1.StateRequest{Era: after.Era, After: after.Number}))
 	if err != nil {
 		return stateResult{err: err}
 	}
 	m := response.Msg
 	state := lhstore.Update{
-		After:    m.GetAfter(),
-		Revision: m.GetRevision(),
+		After:    revisionOf(m.GetEra(), m.GetAfter()),
+		Revision: revisionOf(m.GetEra(), m.GetRevision()),
 		Age:      time.Duration(m.GetAge())*time.Millisecond + time.Since(start),
 	}
 	return stateResult{state, state.Unpack(m.GetItems())}
@@ -89,14 +89,23 @@
 	// Packing one state at a time bounds the memory used when many VMs start at once.
 	h.node.packing.Lock()
 	defer h.node.packing.Unlock()
-	state := h.node.state(r.Msg.GetAfter())
+	state := h.node.state(revisionOf(r.Msg.GetEra(), r.Msg.GetAfter()))
 	packed, err := state.Pack()
 	if err != nil {
-		h.node.log.Error().Err(err).Uint64("at", state.Revision).Msg("failed to pack state")
+		h.node.log.Error().Err(err).Stringer("at", state.Revision).Msg("failed to pack state")
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	h.node.log.Info().Uint64("after", state.After).Uint64("at", state.Revision).Dur("age", state.Age).Int("items", len(state.Items)).Msg("state given")
+	h.node.log.Info().Stringer("after", state.After).Stringer("at", state.Revision).Dur("age", state.Age).Int("items", len(state.Items)).Msg("state given")
 	return connect.NewResponse(&lhspreadv1.StateResponse{
-		After: state.After, Revision: state.Revision, Age: uint32(state.Age.Milliseconds()), Items: packed,
+		Era: state.Revision.Era, After: state.After.Number, Revision: state.Revision.Number, Age: uint32(state.Age.Milliseconds()), Items: packed,
 	}), nil
 }
+
+// revisionOf returns the revision with a number in an era. In messages, the number 0 stands
+// for the zero Revision.
+func revisionOf(era, number uint64) lhstore.Revision {
+	if number == 0 {
+		return lhstore.Revision{}
+	}
+	return lhstore.Revision{Era: era, Number: number}
+}
--- a/lhspread/state_test.go
+++ b/lhspread/state_test.go
@@ -17,9 +17,9 @@
 // TestState checks that the newest state is returned if some contacts have an older
 // state, no state or are down.
 func TestState(t *testing.T) {
-	stateAt := func(revision uint64) func(uint64) lhstore.Update {
-		return func(uint64) lhstore.Update {
-			n := lhstore.Update{Revision: revision, Age: 3 * time.Second}
+	stateAt := func(era, revision uint64) func(lhstore.Revision) lhstore.Update {
+		return func(lhstore.Revision) lhstore.Update {
+			n := lhstore.Update{Revision: lhstore.Revision{Era: era, Number: revision}, Age: 3 * time.Second}
 			for i := range revision {
 				n.Items = append(n.Items, lhstore.Item{Key: fmt.Sprint("key-", i), Data: []byte("x"), Revision: i + 1})
 			}
@@ -28,17 +28,20 @@
 	}
 	down := start(t, "down", "dc-0")
 	assert.NilError(t, down.server.Close())
-	old, newest, empty := startWith(t, "old", "dc-0", nil, stateAt(3)), startWith(t, "newest", "dc-1", nil, stateAt(5)), startWith(t, "empty", "dc-0", nil, stateAt(0))
+	old, newest, empty := startWith(t, "old", "dc-0", nil, stateAt(1, 3)), startWith(t, "newest", "dc-1", nil, stateAt(1, 5)), startWith(t, "empty", "dc-0", nil, stateAt(1, 0))
+	restored := startWith(t, "restored", "dc-0", nil, stateAt(2, 4))
 	cases := []struct {
 		name     string
 		contacts []*testNode
+		wantEra  uint64
 		want     uint64
 	}{
-		{"none", nil, 0},
-		{"down", []*testNode{down}, 0},
-		{"no state", []*testNode{empty, down}, 0},
-		{"one down", []*testNode{down, old}, 3},
-		{"newest", []*testNode{old, newest, empty}, 5},
+		{"none", nil, 1, 0},
+		{"down", []*testNode{down}, 1, 0},
+		{"no state", []*testNode{empty, down}, 1, 0},
+		{"one down", []*testNode{down, old}, 1, 3},
+		{"newest", []*testNode{old, newest, empty}, 1, 5},
+		{"restored store", []*testNode{newest, restored, old}, 2, 4},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -47,8 +50,9 @@
 				contacts = append(contacts, r.member.Control)
 			}
 			n := NewNode(NodeSettings{Self: "new", Contacts: contacts, Log: zerolog.Nop()})
-			state, err := n.State(context.Background(), 0, lhstore.FromAny)
-			assert.Equal(t, state.Revision, c.want)
+			state, err := n.State(context.Background(), lhstore.Revision{}, lhstore.FromAny)
+			assert.Equal(t, state.Revision.Number, c.want)
+			assert.Equal(t, state.Revision.Era == c.wantEra, c.want > 0)
 			assert.Equal(t, len(state.Items), int(c.want))
 			if c.want == 0 {
 				assert.Equal(t, lhcode.Of(err), lhcode.PeerUnreachable)
@@ -56,7 +60,25 @@
 			}
 			assert.NilError(t, err)
 			assert.Assert(t, state.Age >= 3*time.Second)
-			assert.DeepEqual(t, state.Items, stateAt(c.want)(0).Items)
+			assert.DeepEqual(t, state.Items, stateAt(c.wantEra, c.want)(lhstore.Revision{}).Items)
 		})
 	}
 }
+
+// TestChangesOfEra checks that a request for changes names the era of the revision that is
+// known: in another era the same number stands for other changes.
+func TestChangesOfEra(t *testing.T) {
+	asked := make(chan lhstore.Revision, 1)
+	other := startWith(t, "other", "dc-0", nil, func(after lhstore.Revision) lhstore.Update {
+		asked <- after
+		return lhstore.Update{After: after, Revision: lhstore.Revision{Era: 2, Number: 9}}
+	})
+	self := start(t, "self", "dc-0")
+	self.SetMembers([]Member{self.member, other.member})
+	known := lhstore.Revision{Era: 2, Number: 7}
+	changes, err := self.State(context.Background(), known, lhstore.FromAny)
+	assert.NilError(t, err)
+	assert.Equal(t, <-asked, known)
+	assert.Equal(t, changes.After, known)
+	assert.Equal(t, changes.Revision, lhstore.Revision{Era: 2, Number: 9})
+}
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"compress/gzip"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,7 +15,8 @@
 type Item struct {
 	Key  string `json:"key"`
 	Data []byte `json:"data,omitempty"`
-	// Revision is the store revision of the last change of the key.
+	// Revision is the number of the store's revision that is the last change of the key. Its
+	// era is that of the Page or Update with the item.
 	Revision uint64 `json:"revision"`
 	// Deleted is set if that change deleted the key.
 	Deleted bool `json:"deleted,omitempty"`
@@ -24,17 +26,15 @@
 type Page struct {
 	Items []Item
 	// Revision is the store's revision at the time of the response.
-	Revision uint64
-	// Era is the number of times that the store has been restored from a copy.
-	Era uint64
+	Revision Revision
 	// More is set if the listing continues after the last item.
 	More bool
 }
 
-// Update holds the relevant changes of a store between two revisions. If After is 0, it
-// holds all relevant items of the store.
+// Update holds the relevant changes of a store between two revisions of the same era. If
+// After is zero, it holds all relevant items of the store.
 type Update struct {
-	After, Revision uint64
+	After, Revision Revision
 	// Age is the time since the store was read.
 	Age   time.Duration
 	Items []Item
@@ -64,9 +64,9 @@
 type Feed interface {
 	// List returns a page of items in key order, starting after the given key.
 	List(ctx context.Context, after string) (Page, error)
-	// Changes waits for changes after a revision. It returns an empty page with the
-	// store's revision if there were none within wait, and an error with
-	// lhcode.HistoryLost if the store no longer has them.
+	// Changes waits for changes after the revision with the given number in the present
+	// era. It returns an empty page with the store's revision if there were none within
+	// wait, and an error with lhcode.HistoryLost if the store does not have them.
 	Changes(ctx context.Context, after uint64, wait time.Duration) (Page, error)
 }
 
@@ -74,7 +74,8 @@
 // from one goroutine.
 type Consumer interface {
 	// Apply processes items with revisions that it has not seen, and returns those that
-	// changed the consumer's state.
+	// changed the consumer's state. After a restore of the store, an item may be older
+	// than one of the same key that was processed before.
 	Apply(items []Item) []Item
 	// ReachabilityChanged is called with the result of the first call to the store, and
 	// whenever calls start to fail or succeed again.
@@ -84,7 +85,7 @@
 	Data(key string) ([]byte, bool)
 	// Refreshed reports that the items of the next call of Apply complete the state
 	// up to a revision, which the store had age ago.
-	Refreshed(revision uint64, age time.Duration)
+	Refreshed(revision Revision, age time.Duration)
 }
 
 // Distributor shares what VMs read from the store with the other VMs of a deployment.
@@ -100,8 +101,8 @@
 	// Updates returns the channel of updates received from other VMs.
 	Updates() <-chan Update
 	// State returns the changes after a revision that another VM knows, or its complete
-	// state if after is 0 or that VM lacks some of the changes.
-	State(ctx context.Context, after uint64, from Source) (Update, error)
+	// state if after is zero or that VM lacks some of the changes.
+	State(ctx context.Context, after Revision, from Source) (Update, error)
 }
 
 // Source is which of the other VMs is asked for changes.
@@ -143,7 +144,8 @@
 // Mirror follows a store. It lists the store once and then watches for changes, or
 // receives them from other VMs. It lists again if the store has dropped its history or a
 // watch returns nothing although the store's revision has increased: a watch may miss
-// changes while the store drops history. If it misses an update from another VM, it
+// changes while the store drops history. It also lists again if the store was restored from
+// a copy, as the changes that it knows may be gone. If it misses an update from another VM, it
 // requests the changes from a third one and reads the store only if that fails.
 type Mirror struct {
 	// Feed is the store.
@@ -157,9 +159,9 @@
 }
 
 // State returns the known changes of the store after a revision, or the complete known
-// state if after is 0 or not all of these changes are known. Its revision is 0 if nothing
-// is known.
-func (m *Mirror) State(after uint64) Update {
+// state if after is zero or not all of these changes are known. Its revision is zero if
+// nothing is known.
+func (m *Mirror) State(after Revision) Update {
 	u := m.state.snapshot(time.Now(), after)
 	held := u.Items[:0]
 	for _, it := range u.Items {
@@ -176,9 +178,9 @@
 	return u
 }
 
-// KeyRevision returns the revision of the last known change of a key, or 0 if the key is not
-// known.
-func (m *Mirror) KeyRevision(key string) uint64 { return m.state.keyRevision(key) }
+// KeyRevision returns the revision of the last known change of a key, which is zero if the
+// key is not known.
+func (m *Mirror) KeyRevision(key string) Revision { return m.state.keyRevision(key) }
 
 // Run follows the store until ctx ends. The returned channel then receives nil.
 func (m *Mirror) Run(ctx context.Context) <-chan error {
@@ -200,10 +202,10 @@
 	// state of another VM; otherwise the next read lists the store.
 	listed bool
 	// nextRead is when the store is read next. missedUpdate is the revision up to which
-	// other VMs have changes that were missed here, or 0: they know already what is read
-	// then.
+	// other VMs have changes that were missed here, or zero: they know already what is
+	// read then.
 	nextRead     time.Time
-	missedUpdate uint64
+	missedUpdate Revision
 	// unreachable is set while calls to the store fail; called once any call was made.
 	called, unreachable bool
 	// retryDelay is the delay after the next failure, and listTimeout the timeout of the
@@ -229,7 +231,7 @@
 			return
 		}
 		l.read(ctx)
-		if l.state.revision == 0 {
+		if l.state.revision.IsZero() {
 			l.loadPeerState(ctx, FromAny)
 		}
 	}
@@ -238,7 +240,7 @@
 // askPeer asks another VM for changes if that may replace a read of the store, and reports
 // whether it does.
 func (l *mirrorLoop) askPeer(ctx context.Context) bool {
-	missed := l.missedUpdate > 0
+	missed := !l.missedUpdate.IsZero()
 	readAge := l.Distributor.ReadAge()
 	asks := readAge > l.Distributor.MaxAge()
 	if !l.listed || !missed && !asks {
@@ -265,53 +267,80 @@
 func (l *mirrorLoop) loadPeerState(ctx context.Context, from Source) (answered, recent bool) {
 	known, missed := l.state.revision, l.missedUpdate
 	u, err := l.Distributor.State(ctx, known, from)
-	if err != nil || u.Revision < missed || u.Revision < known || u.After > known {
-		l.Log.Debug().Err(err).Uint64("known", known).Uint64("at", u.Revision).Msg("no state available from other VMs")
+	if err != nil || u.Revision.Compare(later(known, missed)) < 0 || u.After.Compare(known) > 0 {
+		l.Log.Debug().Err(err).Stringer("known", known).Stringer("at", u.Revision).Msg("no state available from other VMs")
 		return err == nil, false
 	}
-	if time.Since(l.state.asOf) <= u.Age && missed == 0 {
+	if time.Since(l.state.asOf) <= u.Age && missed.IsZero() && u.Revision.Era == known.Era {
 		return true, false
 	}
-	l.Log.Info().Uint64("known", known).Uint64("after", u.After).Uint64("at", u.Revision).Dur("age", u.Age).
+	l.Log.Info().Stringer("known", known).Stringer("after", u.After).Stringer("at", u.Revision).Dur("age", u.Age).
 		Int("items", len(u.Items)).Msg("state of another VM taken")
+	l.adopt(u)
+	return true, !missed.IsZero() || u.Age < time.Duration(maxPeerAge*float64(l.Distributor.MaxAge()))
+}
+
+// adopt replaces the known state by what another VM knows, which is at least as new.
+func (l *mirrorLoop) adopt(u Update) {
 	items := u.Items
-	if u.After == 0 {
+	if u.After.IsZero() {
 		items = append(items, l.state.deletions(items, u.Revision)...)
 		l.state.startHistory(u.Revision)
 	}
-	l.listed, l.missedUpdate = true, 0
+	l.listed, l.missedUpdate = true, Revision{}
 	l.advance(u.Revision, u.Age)
-	l.apply(items)
-	return true, missed > 0 || u.Age < time.Duration(maxPeerAge*float64(l.Distributor.MaxAge()))
+	l.apply(u.Revision, items)
 }
 
-// receive applies an update from another VM. If changes between the revision known here
-// and that of the update are not in the update, they are obtained at once.
+// receive applies an update from another VM. An update of an earlier era holds changes that
+// the store has lost.
 func (l *mirrorLoop) receive(u Update) {
-	if !l.listed {
+	known := l.state.revision
+	switch {
+	case u.Revision.Era < known.Era:
+		l.Log.Debug().Stringer("at", u.Revision).Stringer("known", known).Msg("update of an earlier era dropped")
+	case u.After.IsZero():
+		l.receiveComplete(u)
+	case l.listed:
+		l.receiveChanges(u)
+	}
+}
+
+// receiveComplete applies the complete state that another VM has sent unless it is known.
+func (l *mirrorLoop) receiveComplete(u Update) {
+	known := l.state.revision
+	if known.IsZero() || u.Revision.Compare(later(known, l.missedUpdate)) < 0 || u.Revision == known {
 		return
 	}
+	l.Log.Info().Stringer("known", known).Stringer("at", u.Revision).Dur("age", u.Age).
+		Int("items", len(u.Items)).Msg("state of another VM received")
+	l.adopt(u)
+}
+
+// receiveChanges applies changes that another VM has sent. If changes between the revision
+// known here and that of the update are not in the update, they are obtained at once.
+func (l *mirrorLoop) receiveChanges(u Update) {
 	known := l.state.revision
 	// A listing hides deletions of keys that are known here from changes after u.After.
-	hidden := u.Listed && u.After < l.state.newest && known < u.Revision
-	if hidden || u.After > known {
-		l.Log.Debug().Uint64("after", u.After).Uint64("known", known).Bool("listed", u.Listed).Msg("update missed")
-		l.nextRead, l.missedUpdate = time.Now(), max(l.missedUpdate, u.Revision)
+	hidden := u.Listed && u.After.Compare(l.state.newest) < 0 && known.Compare(u.Revision) < 0
+	if hidden || u.After.Compare(known) > 0 {
+		l.Log.Debug().Stringer("after", u.After).Stringer("known", known).Bool("listed", u.Listed).Msg("update missed")
+		l.nextRead, l.missedUpdate = time.Now(), later(l.missedUpdate, u.Revision)
 		if hidden {
-			l.apply(u.Items)
+			l.apply(u.Revision, u.Items)
 		}
 		return
 	}
 	if u.Listed {
 		l.state.startHistory(u.Revision)
 	}
-	l.advance(max(known, u.Revision), u.Age)
-	l.apply(u.Items)
+	l.advance(later(known, u.Revision), u.Age)
+	l.apply(u.Revision, u.Items)
 }
 
 // advance records that the state is complete up to a revision that the store had age
 // ago, and postpones the next read accordingly.
-func (l *mirrorLoop) advance(revision uint64, age time.Duration) {
+func (l *mirrorLoop) advance(revision Revision, age time.Duration) {
 	l.state.advance(revision, time.Now().Add(-age))
 	if next := time.Now().Add(l.Distributor.MaxAge() - age); next.After(l.nextRead) {
 		l.nextRead = next
@@ -324,7 +353,7 @@
 	before, relisted := l.state.revision, !l.listed
 	result, err := l.fetch(ctx)
 	if lhcode.Of(err) == lhcode.HistoryLost {
-		l.Log.Info().Uint64("after", before).Msg("store has dropped its history; listing again")
+		l.Log.Info().Err(err).Stringer("after", before).Msg("listing the store again")
 		l.listed = false
 		return
 	}
@@ -335,15 +364,15 @@
 		l.retryDelay = min(2*l.retryDelay, l.maxRetryDelay())
 		return
 	}
-	missed := l.missedUpdate > 0
-	l.retryDelay, l.missedUpdate = minRetryDelay, 0
-	if result.revision == 0 {
-		l.Log.Debug().Uint64("known", before).Msg("watch lacks changes; listing the store")
+	missed := l.missedUpdate
+	l.retryDelay, l.missedUpdate = minRetryDelay, Revision{}
+	if result.revision.IsZero() {
+		l.Log.Debug().Stringer("known", before).Msg("watch lacks changes; listing the store")
 		l.listed, l.nextRead = false, time.Now()
 		return
 	}
 	if relisted || len(result.items) > 0 {
-		l.Log.Info().Uint64("known", before).Uint64("at", result.revision).Uint64("era", result.era).
+		l.Log.Info().Stringer("known", before).Stringer("at", result.revision).
 			Int("items", len(result.items)).Bool("listed", relisted).Msg("store read")
 	}
 	if relisted {
@@ -351,24 +380,34 @@
 	}
 	l.nextRead = result.asOf
 	l.advance(result.revision, time.Since(result.asOf))
-	changed := l.apply(result.items)
-	if before == 0 || missed {
-		return
+	changed := l.apply(result.revision, result.items)
+	knownToOthers := !missed.IsZero() && missed.Era == result.revision.Era
+	if !before.IsZero() && !knownToOthers {
+		l.publish(before, result, changed, relisted)
 	}
-	if relisted {
+}
+
+// publish sends the result of a read to other VMs. The read has changed the given items
+// here, where the state of the revision before was known.
+func (l *mirrorLoop) publish(before Revision, result readResult, changed []Item, listed bool) {
+	switch {
+	case before.Era != result.revision.Era:
+		// Changes that the store has lost can't be told from others. Send the complete state.
+		before, changed = Revision{}, existing(result.items)
+	case listed:
 		// What is new here depends on what this VM has missed; the other VMs may lack
 		// more. Send all changes since the previous revision.
-		changed = changedAfter(result.items, before)
+		changed = changedAfter(result.items, before.Number)
 	}
 	l.Distributor.Publish(Update{
-		After: before, Revision: result.revision, Age: time.Since(result.asOf), Items: lastPerKey(changed), Listed: relisted,
+		After: before, Revision: result.revision, Age: time.Since(result.asOf), Items: lastPerKey(changed), Listed: listed,
 	})
 }
 
 // firstRetryDelay returns the delay after the first of several failing calls. A VM that
 // steps in for others leaves it to them to notice quickly that the store is back.
 func (l *mirrorLoop) firstRetryDelay() time.Duration {
-	if l.state.revision > 0 && l.Distributor.ReadAge() > l.Distributor.MaxAge() {
+	if !l.state.revision.IsZero() && l.Distributor.ReadAge() > l.Distributor.MaxAge() {
 		return l.Distributor.MaxAge()
 	}
 	return minRetryDelay
@@ -376,48 +415,62 @@
 
 // maxRetryDelay returns the longest delay between failing calls.
 func (l *mirrorLoop) maxRetryDelay() time.Duration {
-	if l.state.revision == 0 {
+	if l.state.revision.IsZero() {
 		return maxInitialRetryDelay
 	}
 	return time.Duration(maxRetryFactor * float64(l.Distributor.MaxAge()))
 }
 
 // readResult is what a read of the store returned: changes, and the revision up to which
-// they were complete at some time. The revision is 0 if the store has to be listed.
+// they were complete at some time. The revision is zero if the store has to be listed.
 type readResult struct {
 	items    []Item
-	revision uint64
+	revision Revision
 	asOf     time.Time
-	// era is the era of the store that responded.
-	era uint64
 }
 
 // fetch lists or watches the store.
 func (l *mirrorLoop) fetch(ctx context.Context) (readResult, error) {
 	start := time.Now()
-	if !l.listed || l.state.revision == 0 {
-		if l.state.revision == 0 {
+	known := l.state.revision
+	if !l.listed || known.IsZero() {
+		if known.IsZero() {
 			var cancel context.CancelFunc
 			ctx, cancel = context.WithTimeout(ctx, l.listTimeout)
 			defer cancel()
 			l.listTimeout = min(2*l.listTimeout, maxInitialListTimeout)
 		}
-		items, at, err := l.list(ctx)
-		return readResult{items, at.Revision, start, at.Era}, err
+		items, revision, err := l.list(ctx)
+		return readResult{items, revision, start}, err
+	}
+	page, err := l.Feed.Changes(ctx, known.Number, MirrorWait)
+	if err == nil {
+		err = checkEra(page.Revision, known)
 	}
-	page, err := l.Feed.Changes(ctx, l.state.revision, MirrorWait)
 	switch {
 	case err != nil:
 		return readResult{}, err
 	case len(page.Items) > 0:
-		return readResult{page.Items, max(l.state.revision, page.Revision), start, page.Era}, nil
-	case page.Revision != l.state.revision:
+		return readResult{page.Items, later(known, page.Revision), start}, nil
+	case page.Revision != known:
 		return readResult{}, nil
 	case time.Since(start) >= MirrorWait:
 		// The store has responded at the end of the wait.
 		start = start.Add(MirrorWait)
 	}
-	return readResult{nil, page.Revision, start, page.Era}, nil
+	return readResult{nil, page.Revision, start}, nil
+}
+
+// checkEra returns an error if a response of the store is not of the known era. The error
+// has lhcode.HistoryLost if the store was restored since.
+func checkEra(response, known Revision) error {
+	switch {
+	case response.Era > known.Era:
+		return lhcode.Newf(lhcode.HistoryLost, "the store was restored: its revision is %v, the known one %v", response, known)
+	case response.Era < known.Era:
+		return lhcode.Newf(lhcode.StoreUnavailable, "the store responded with revision %v, of an earlier era than %v", response, known)
+	}
+	return nil
 }
 
 // reportReachability tells the consumer if the store became reachable or unreachable.
@@ -431,36 +484,47 @@
 
 // list returns all items of the store and a deletion for each known key that is not
 // listed. Pages are not a consistent snapshot, so watches start at the revision of the
-// first page.
-func (l *mirrorLoop) list(ctx context.Context) ([]Item, Page, error) {
+// first page. All pages are of the same era, which is not before the known one.
+func (l *mirrorLoop) list(ctx context.Context) ([]Item, Revision, error) {
 	var all []Item
-	var first Page
+	var first Revision
 	for after, more := "", true; more; {
 		page, err := l.Feed.List(ctx, after)
 		if err != nil {
-			return nil, Page{}, err
+			return nil, Revision{}, err
+		}
+		if after == "" {
+			first = page.Revision
 		}
-		if first.Revision == 0 {
-			first = page
+		if err := checkEra(page.Revision, first); err != nil {
+			return nil, Revision{}, err
 		}
 		all = append(all, page.Items...)
 		if more = page.More && len(page.Items) > 0; more {
 			after = page.Items[len(page.Items)-1].Key
 		}
 	}
+	if known := l.state.revision; first.Era < known.Era {
+		return nil, Revision{}, checkEra(first, known)
+	}
 	l.listed = true
-	return append(all, l.state.deletions(all, first.Revision)...), first, nil
+	return append(all, l.state.deletions(all, first)...), first, nil
+}
+
+// existing returns the items that are not deletions.
+func existing(items []Item) []Item {
+	return slices.DeleteFunc(slices.Clone(items), func(it Item) bool { return it.Deleted })
 }
 
-// changedAfter returns the items that changed after a revision.
-func changedAfter(items []Item, revision uint64) []Item {
-	var later []Item
+// changedAfter returns the items that changed after the revision with a number in their era.
+func changedAfter(items []Item, number uint64) []Item {
+	var changed []Item
 	for _, it := range items {
-		if it.Revision > revision {
-			later = append(later, it)
+		if it.Revision > number {
+			changed = append(changed, it)
 		}
 	}
-	return later
+	return changed
 }
 
 // lastPerKey returns the last change of each key.
@@ -478,14 +542,15 @@
 	return kept
 }
 
-// apply passes the items that are newer than the known state to the consumer, and
-// returns those that changed the consumer's state.
-func (l *mirrorLoop) apply(items []Item) []Item {
-	newer, known := l.state.merge(items, time.Now())
+// apply passes those items of an update or read up to a revision that are newer than the
+// known state to the consumer, and returns those that changed the consumer's state.
+func (l *mirrorLoop) apply(upTo Revision, items []Item) []Item {
+	newer, known := l.state.merge(upTo.Era, items, time.Now())
 	if n := len(known); n > 0 {
 		last := known[n-1]
-		l.Log.Info().Int("items", len(items)).Int("dropped", n).Str("key", last.Key).Uint64("at", last.Revision).
-			Uint64("known", l.state.keyRevision(last.Key)).Msg("items dropped as already known")
+		l.Log.Info().Int("items", len(items)).Int("dropped", n).Str("key", last.Key).
+			Stringer("at", Revision{Era: upTo.Era, Number: last.Revision}).
+			Stringer("known", l.state.keyRevision(last.Key)).Msg("items dropped as already known")
 	}
 	if len(newer) == 0 {
 		return nil
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -18,9 +18,9 @@
 
 // memoryFeed is an in-memory Feed.
 type memoryFeed struct {
-	revision uint64
-	items    map[string]Item
-	history  []Item
+	era, revision uint64
+	items         map[string]Item
+	history       []Item
 	// dropped is the revision up to which the history was dropped.
 	dropped uint64
 	// muted makes watches return nothing; failing makes all calls fail.
@@ -28,7 +28,12 @@
 	calls          int
 }
 
-func newMemoryFeed() *memoryFeed { return &memoryFeed{revision: 1, items: make(map[string]Item)} }
+func newMemoryFeed() *memoryFeed {
+	return &memoryFeed{era: 1, revision: 1, items: make(map[string]Item)}
+}
+
+// at returns the present revision.
+func (l *memoryFeed) at() Revision { return Revision{Era: l.era, Number: l.revision} }
 
 func (l *memoryFeed) write(key, value string) {
 	l.revision++
@@ -42,12 +47,24 @@
 
 func (l *memoryFeed) dropHistory() { l.history, l.dropped = nil, l.revision }
 
+// backup returns a copy of the present contents.
+func (l *memoryFeed) backup() memoryFeed {
+	return memoryFeed{revision: l.revision, items: maps.Clone(l.items)}
+}
+
+// restore replaces the contents by a copy.
+func (l *memoryFeed) restore(b memoryFeed) {
+	l.era++
+	l.revision, l.items = b.revision, maps.Clone(b.items)
+	l.dropHistory()
+}
+
 func (l *memoryFeed) List(context.Context, string) (Page, error) {
 	l.calls++
 	if l.failing {
 		return Page{}, lhcode.New(lhcode.StoreUnavailable, "down")
 	}
-	page := Page{Revision: l.revision}
+	page := Page{Revision: l.at()}
 	for _, key := range slices.Sorted(maps.Keys(l.items)) {
 		page.Items = append(page.Items, l.items[key])
 	}
@@ -60,11 +77,11 @@
 	case l.failing:
 		return Page{}, lhcode.New(lhcode.StoreUnavailable, "down")
 	case l.muted:
-		return Page{Revision: l.revision}, nil
-	case after < l.dropped:
+		return Page{Revision: l.at()}, nil
+	case after < l.dropped || after > l.revision:
 		return Page{}, lhcode.New(lhcode.HistoryLost, "dropped")
 	}
-	page := Page{Revision: l.revision}
+	page := Page{Revision: l.at()}
 	for _, it := range l.history {
 		if it.Revision > after {
 			page.Items = append(page.Items, it)
@@ -82,7 +99,7 @@
 	received chan Update
 	// revision and age are the arguments of the last call of Refreshed, reachable those
 	// of all calls of ReachabilityChanged.
-	revision  uint64
+	revision  Revision
 	age       time.Duration
 	reachable []bool
 	// peers are the VMs that State asks.
@@ -112,24 +129,24 @@
 	return changed
 }
 
-func (v *replica) ReachabilityChanged(ok bool, _ error) { v.reachable = append(v.reachable, ok) }
-func (v *replica) Refreshed(r uint64, a time.Duration)  { v.revision, v.age = r, a }
-func (v *replica) Data(key string) ([]byte, bool)       { d, ok := v.values[key]; return []byte(d), ok }
-func (v *replica) MaxAge() time.Duration                { return time.Second }
-func (v *replica) ReadAge() time.Duration               { return v.readAge }
-func (v *replica) Publish(u Update)                     { v.sent = append(v.sent, u) }
-func (v *replica) Updates() <-chan Update               { return v.received }
+func (v *replica) ReachabilityChanged(ok bool, _ error)  { v.reachable = append(v.reachable, ok) }
+func (v *replica) Refreshed(r Revision, a time.Duration) { v.revision, v.age = r, a }
+func (v *replica) Data(key string) ([]byte, bool)        { d, ok := v.values[key]; return []byte(d), ok }
+func (v *replica) MaxAge() time.Duration                 { return time.Second }
+func (v *replica) ReadAge() time.Duration                { return v.readAge }
+func (v *replica) Publish(u Update)                      { v.sent = append(v.sent, u) }
+func (v *replica) Updates() <-chan Update                { return v.received }
 
 // State returns the newest changes or state of the peers, packed and unpacked again as on its way
 // to another process.
-func (v *replica) State(_ context.Context, after uint64, _ Source) (Update, error) {
+func (v *replica) State(_ context.Context, after Revision, _ Source) (Update, error) {
 	var newest Update
 	for _, p := range v.peers {
-		if u := p.Mirror.State(after); u.Revision > newest.Revision {
+		if u := p.Mirror.State(after); u.Revision.Compare(newest.Revision) > 0 {
 			newest = u
 		}
 	}
-	if newest.Revision == 0 {
+	if newest.Revision.IsZero() {
 		return newest, lhcode.New(lhcode.PeerUnreachable, "no peer has state")
 	}
 	packed, err := newest.Pack()
@@ -172,7 +189,7 @@
 	assert.DeepEqual(t, v.values, l.values())
 	assert.Equal(t, len(v.sent), 1)
 	assert.Equal(t, len(v.sent[0].Items), 2)
-	assert.Equal(t, v.revision, l.revision)
+	assert.Equal(t, v.revision, l.at())
 }
 
 // TestMirrorOmitsUnchangedItems checks that an entry written again with the same value
@@ -186,7 +203,7 @@
 	v.readAll()
 	assert.Equal(t, len(v.sent), 1)
 	assert.Equal(t, len(v.sent[0].Items), 0)
-	assert.Equal(t, v.sent[0].Revision, l.revision)
+	assert.Equal(t, v.sent[0].Revision, l.at())
 }
 
 // TestMirrorSendsLastChangePerKey checks that of several changes of a key only the last
@@ -288,7 +305,7 @@
 }
 
 // TestMirrorsConverge checks that after random changes, outages, losses of history,
-// changes of the reader, lost updates and requests to other VMs all VMs end with the
+// restores from a copy, changes of the reader, lost updates and requests to other VMs all VMs end with the
 // contents of the store, whether they read it themselves or ask a VM that has.
 func TestMirrorsConverge(t *testing.T) {
 	for _, fromPeer := range []bool{false, true} {
@@ -306,8 +323,9 @@
 		replicas[len(replicas)-1].readAll()
 	}
 	pick := rapid.IntRange(0, len(replicas)-1)
+	copied := l.backup()
 	for range rapid.IntRange(1, 40).Draw(r, "steps") {
-		switch rapid.IntRange(0, 6).Draw(r, "step") {
+		switch rapid.IntRange(0, 8).Draw(r, "step") {
 		case 0, 1:
 			l.write(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "key"), rapid.SampledFrom([]string{"", "1", "2"}).Draw(r, "value"))
 		case 2:
@@ -322,6 +340,10 @@
 			asking := replicas[pick.Draw(r, "asking")]
 			asking.peers = []*replica{replicas[pick.Draw(r, "asked")]}
 			asking.loadPeerState(context.Background(), FromAny)
+		case 7:
+			copied = l.backup()
+		case 8:
+			l.restore(copied)
 		}
 	}
 	l.failing = false
@@ -414,7 +436,7 @@
 	v.peers = []*replica{newReplica(l), stale, newest}
 	v.step(context.Background())
 	assert.DeepEqual(t, v.values, map[string]string{"b": "2"})
-	assert.Equal(t, v.revision, l.revision)
+	assert.Equal(t, v.revision, l.at())
 	assert.Assert(t, v.age > 0)
 	assert.DeepEqual(t, v.reachable, []bool{false})
 
@@ -423,7 +445,7 @@
 	l.failing = false
 	v.readAll()
 	assert.DeepEqual(t, v.values, l.values())
-	assert.Equal(t, v.revision, l.revision)
+	assert.Equal(t, v.revision, l.at())
 }
 
 // TestStartWithoutPeerState starts a VM whose peers have no state either while the store
@@ -435,7 +457,7 @@
 	v := newReplica(l)
 	v.peers = []*replica{newReplica(l)}
 	v.step(context.Background())
-	assert.Equal(t, v.revision, uint64(0))
+	assert.Equal(t, v.revision, Revision{})
 	assert.Assert(t, time.Until(v.nextRead) <= maxInitialRetryDelay)
 	l.failing = false
 	v.step(context.Background())
@@ -473,7 +495,7 @@
 			late.receive(n)
 		}
 		assert.DeepEqual(r, late.values, l.values())
-		assert.Equal(r, late.revision, l.revision)
+		assert.Equal(r, late.revision, l.at())
 	})
 }
 
@@ -535,7 +557,7 @@
 	assert.Equal(t, l.calls, calls+1)
 	assert.Assert(t, v.listed)
 	assert.Equal(t, len(v.sent), 1, "the other VMs are told that their state is recent")
-	assert.Equal(t, v.sent[0].Revision, l.revision)
+	assert.Equal(t, v.sent[0].Revision, l.at())
 	l.muted = true
 	l.write("a", "2")
 	v.read(context.Background())
@@ -578,8 +600,8 @@
 			v.receive(missed)
 			v.step(context.Background())
 			assert.DeepEqual(t, v.values, l.values())
-			assert.Equal(t, v.revision, l.revision)
-			assert.Equal(t, v.missedUpdate, uint64(0))
+			assert.Equal(t, v.revision, l.at())
+			assert.Equal(t, v.missedUpdate, Revision{})
 			assert.DeepEqual(t, v.reachable, []bool{true})
 		})
 	}
@@ -665,3 +687,113 @@
 		})
 	}
 }
+
+// TestMirrorRestoredStore guards against keeping the state of before a restore of the store
+// from a copy. In each case the store has lost a change of "a" and gives its revision to a
+// change of "b".
+func TestMirrorRestoredStore(t *testing.T) {
+	cases := []struct {
+		name string
+		// later is the number of further changes before the VM learns of the restore.
+		later int
+		// learn lets the VM learn of it from the store, from another VM that has read the
+		// store, or from updates of that VM.
+		learn func(l *memoryFeed, v, reader *replica)
+	}{
+		{"same revision", 0, func(_ *memoryFeed, v, _ *replica) { v.readAll() }},
+		{"later revision", 2, func(_ *memoryFeed, v, _ *replica) { v.readAll() }},
+		{"update", 0, func(l *memoryFeed, v, reader *replica) {
+			l.failing = true
+			v.receive(reader.sent[0])
+		}},
+		{"update of a later revision", 2, func(l *memoryFeed, v, reader *replica) {
+			l.failing = true
+			v.receive(reader.sent[0])
+		}},
+		{"changes after a missed update", 0, func(l *memoryFeed, v, reader *replica) {
+			l.write("c", "new")
+			reader.readAll()
+			l.failing = true
+			v.peers = []*replica{reader}
+			v.receive(reader.sent[1])
+			v.step(context.Background())
+		}},
+		{"state of another VM", 0, func(l *memoryFeed, v, reader *replica) {
+			l.failing = true
+			v.peers = []*replica{reader}
+			v.loadPeerState(context.Background(), FromAny)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newMemoryFeed()
+			l.write("a", "old")
+			copied := l.backup()
+			l.write("a", "lost")
+			v, reader, behind := newReplica(l), newReplica(l), newReplica(l)
+			for _, r := range []*replica{v, reader, behind} {
+				r.readAll()
+			}
+			l.restore(copied)
+			l.write("b", "new")
+			assert.Equal(t, v.state.revision.Number, l.revision, "the revision is given again")
+			for i := range c.later {
+				l.write("c", fmt.Sprint(i))
+			}
+			reader.readAll()
+			c.learn(l, v, reader)
+			assert.DeepEqual(t, v.values, l.values())
+			assert.Equal(t, v.state.revision, l.at())
+
+			v.receive(Update{After: Revision{Era: 1, Number: 3}, Revision: Revision{Era: 1, Number: 9}, Items: []Item{{Key: "d", Data: []byte("lost"), Revision: 9}}})
+			v.peers = []*replica{behind}
+			v.loadPeerState(context.Background(), FromAny)
+			assert.DeepEqual(t, v.values, l.values())
+			assert.Equal(t, v.state.revision, l.at(), "an earlier era must not come back from other VMs")
+		})
+	}
+}
+
+// restoringFeed is a store that returns one item a page and is restored between two pages.
+type restoringFeed struct {
+	*memoryFeed
+	copied memoryFeed
+}
+
+func (f *restoringFeed) List(ctx context.Context, after string) (Page, error) {
+	page, err := f.memoryFeed.List(ctx, "")
+	page.Items = slices.DeleteFunc(page.Items, func(it Item) bool { return it.Key <= after })
+	if page.More = len(page.Items) > 1; page.More {
+		page.Items = page.Items[:1]
+	}
+	if after == "" && f.era == 1 {
+		f.restore(f.copied)
+	}
+	return page, err
+}
+
+// TestRestoreDuringListing guards against a listing whose pages are of two eras.
+func TestRestoreDuringListing(t *testing.T) {
+	l := newMemoryFeed()
+	l.write("b", "1")
+	copied := l.backup()
+	l.write("a", "lost")
+	v := newReplica(l)
+	v.Mirror.Feed = &restoringFeed{l, copied}
+	v.readAll()
+	assert.DeepEqual(t, v.values, l.values())
+	assert.Equal(t, v.revision, l.at())
+}
+
+// TestEarlierEraResponse guards against a store whose response is of an earlier era than the
+// state that another VM has read.
+func TestEarlierEraResponse(t *testing.T) {
+	l := newMemoryFeed()
+	l.write("a", "1")
+	v := newReplica(l)
+	v.readAll()
+	v.receive(Update{Revision: Revision{Era: 2, Number: 1}, Items: []Item{{Key: "b", Data: []byte("2"), Revision: 1}}})
+	v.readAll()
+	assert.DeepEqual(t, v.values, map[string]string{"b": "2"})
+	assert.DeepEqual(t, v.reachable, []bool{true, false})
+}
