lhmark, lhentry: keep what servers reported last when the store is restored

Callers saw in TestMarkedRestoredServers: a flow to a server that had registered after the copy was reset at once, as the copy lacks the entry and no outage of 2 s had preceded. By the same path a draining server, one that had left, and one that had restarted under its name were given new flows, as the entries of the copy counted as news.

Across a restore the store's order says nothing about which of two entries is newer; the server's own start time and report number do.

Fix: Directory.Restored opens a time in which an entry whose run or report is older than the one that is known doesn't take effect. One that the same run has superseded is dropped; one of an earlier run, or of a server that was removed since, takes effect if the store still has it after 5 s, by when the server has reported or its entry has expired (three heartbeats of 1.2 s or less). Missing servers get the grace that they get after an outage.

--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -79,6 +79,10 @@
 	m := (*Marked)(s)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if known := m.counters.knownRevision(); !known.IsZero() && known.Era != revision.Era {
+		m.log.Warn().Stringer("known", known).Stringer("at", revision).Msg("store was restored from a copy")
+		m.directory.Restored(m.now())
+	}
 	m.counters.storeRevision.Store(&revision)
 	m.counters.storeTime.Store(int64(m.now() - age))
 	m.directory.Refresh(m.now(), age)
--- a/lhentry/marked_test.go
+++ b/lhentry/marked_test.go
@@ -497,3 +497,38 @@
 		})
 	}
 }
+
+// TestMarkedRestoredServers guards against new flows to a server that is draining, and resets
+// of flows to a server that is new, after the store was restored from a copy of before.
+func TestMarkedRestoredServers(t *testing.T) {
+	f := newMarkedFleet(t, 2, 3)
+	f.store.Remove(f.servers[1].Key())
+	f.await("the VMs list two servers", f.listed(2))
+	copied := f.store.Backup()
+	f.servers[1].Register(f.store, "ready", 5)
+	f.await("the VMs list three servers", f.listed(3))
+	f.servers[0].Register(f.store, "draining", 2)
+	f.await("the VMs list two servers", f.listed(2))
+	flow := f.open()
+	for flow.Mark() != 2 {
+		flow = f.open()
+	}
+	before := f.servers[0].FlowsOpened()
+
+	f.store.Restore(copied)
+	f.await("the VMs know the restored store", func() bool {
+		return !slices.ContainsFunc(f.vms, func(v *markedVM) bool { return v.Dump().Counters["store_era"] != 2 })
+	})
+	f.request(flow)
+	for range 10 {
+		f.request(f.open())
+	}
+	assert.Equal(t, f.servers[0].FlowsOpened(), before, "new flows to a draining server")
+}
+
+// listed returns a condition that all VMs have a number of servers for new flows.
+func (f *markedFleet) listed(servers int) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(f.vms, func(v *markedVM) bool { return len(v.Dump().Services[0].Servers) != servers })
+	}
+}
--- a/lhmark/config.go
+++ b/lhmark/config.go
@@ -45,12 +45,14 @@
 	TargetID uint64
 	// StartedAt is the start time of the server in Unix milliseconds; 0 if unknown.
 	StartedAt int64
+	// Sequence is the number of the server's report, which starts over when it restarts.
+	Sequence uint64
 	// Warmup is the remaining time for which the server is slow after its start.
 	Warmup time.Duration
 }
 
 // equal reports whether both describe the same run of a server in the same state.
-// It ignores Warmup, which differs with each report.
+// It ignores Sequence and Warmup, which differ with each report.
 func (s *Server) equal(o *Server) bool {
 	return s.BackendServer == o.BackendServer && s.TargetID == o.TargetID && s.StartedAt == o.StartedAt
 }
--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -10,6 +10,10 @@
 	// restoreGrace is how long after an outage of the store a server that it does not list
 	// still counts as present. Running servers are listed again within two seconds.
 	restoreGrace = 2500 * time.Millisecond
+	// copyGrace is how long after a restore of the store an entry counts as possibly copied
+	// from an earlier state. A server that runs reports by then, and the entry of one that
+	// does not has expired.
+	copyGrace = 5 * time.Second
 	// endedRetention is how long a server that has ended stays known, so that its flows can
 	// be reset. It is the longest flow lifetime that the platform guarantees.
 	endedRetention = 60 * time.Second
@@ -27,6 +31,9 @@
 	asOf   time.Duration
 	// reconnectedAt is when the store was reached again after an outage; 0 for never.
 	reconnectedAt time.Duration
+	// restoredAt is when the store was first seen after it was restored from a copy; 0 for
+	// never.
+	restoredAt time.Duration
 	// stale is set when table is out of date.
 	stale bool
 	table *Table
@@ -43,6 +50,9 @@
 	confirmAt time.Duration
 	// ended is set once the server counts as ended.
 	ended bool
+	// copied is the entry that the store has if it may be older than what is known of the
+	// server; nil otherwise.
+	copied *Server
 }
 
 // SetConfig replaces the configuration by a newer one and reports whether it did.
@@ -54,14 +64,21 @@
 	return true
 }
 
-// Set records the entry of a server and reports whether it changes anything.
+// Set records the entry of a server and reports whether it changes anything. After a
+// restore of the store, an entry that may be older than what is known does not take effect
+// before copyGrace has passed, and never if the same run of the server has reported later.
 func (d *Directory) Set(s Server) bool {
 	if d.servers == nil {
 		d.servers = make(map[string]*serverEntry)
 	}
 	entry := d.servers[s.Name]
+	if entry != nil && d.restoredAt > 0 && d.asOf < d.restoredAt+copyGrace && entry.holdBack(&s) {
+		return true
+	}
 	if entry != nil && !entry.missing && entry.server.equal(&s) {
-		return false
+		wasCopied := entry.copied != nil
+		entry.copied = nil
+		return wasCopied
 	}
 	d.servers[s.Name] = &serverEntry{server: &s}
 	d.stale = true
@@ -72,9 +89,14 @@
 // whether that is a change. An entry that is missing after an outage may come back.
 func (d *Directory) Remove(now time.Duration, name string) bool {
 	entry := d.servers[name]
-	if entry == nil || entry.missing {
+	if entry == nil {
 		return false
 	}
+	wasCopied := entry.copied != nil
+	entry.copied = nil
+	if entry.missing {
+		return wasCopied
+	}
 	entry.missing, entry.missingSince, entry.confirmAt = true, now, d.asOf
 	if d.reconnectedAt > 0 {
 		entry.confirmAt = max(d.asOf, d.reconnectedAt+restoreGrace)
@@ -96,6 +118,10 @@
 	d.asOf = max(d.asOf, now-age)
 }
 
+// Restored records that the store has been restored from a copy some seconds old, which
+// lacks the latest entries. Call it before the entries of the copy are recorded.
+func (d *Directory) Restored(now time.Duration) { d.reconnectedAt, d.restoredAt = now, now }
+
 // Current reports whether the directory is up to date, so that a server or route
 // missing from it does not exist.
 func (d *Directory) Current(now time.Duration) bool {
@@ -108,8 +134,11 @@
 // Server returns a server that the store lists.
 func (d *Directory) Server(name string) (Server, bool) {
 	entry := d.servers[name]
-	if entry == nil || entry.missing {
+	switch {
+	case entry == nil || entry.missing && entry.copied == nil:
 		return Server{}, false
+	case entry.missing:
+		return *entry.copied, true
 	}
 	return *entry.server, true
 }
@@ -117,6 +146,10 @@
 // Table returns the table of the current state, the same one until the state changes.
 func (d *Directory) Table(now time.Duration) *Table {
 	for name, entry := range d.servers {
+		if entry.copied != nil && d.asOf >= d.restoredAt+copyGrace {
+			entry = &serverEntry{server: entry.copied}
+			d.servers[name], d.stale = entry, true
+		}
 		if !entry.missing {
 			continue
 		}
@@ -142,3 +175,19 @@
 	d.table, d.stale = newTable(d.cfg, present, ended), false
 	return d.table
 }
+
+// holdBack reports whether an entry of a restored store may be older than what is known of
+// the server. It keeps the entry unless it is certainly older.
+func (e *serverEntry) holdBack(s *Server) bool {
+	known := e.server
+	sameStart := s.StartedAt == known.StartedAt
+	laterReportKnown := sameStart && s.Sequence < known.Sequence
+	removedSince := sameStart && s.Sequence == known.Sequence && e.missing
+	if s.StartedAt > known.StartedAt || sameStart && !laterReportKnown && !removedSince {
+		return false
+	}
+	if !laterReportKnown || s.StartedAt == 0 {
+		e.copied = s
+	}
+	return true
+}
--- a/lhmark/directory_test.go
+++ b/lhmark/directory_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
 	"github.com/laburnumhollow/laburnumhollow/lhflow"
 )
 
@@ -94,6 +95,94 @@
 	assert.Assert(t, d.Set(s), "listed again after removal")
 }
 
+// TestRestoredCopy guards against a store that was restored from a copy: a server that is
+// draining, gone or restarted got new flows again, as its entry in the copy is older, and a
+// server that the copy lacks lost its flows.
+func TestRestoredCopy(t *testing.T) {
+	report := func(startedAt int64, sequence uint64, state lhconf.State) *Server {
+		s := server(1, "a")
+		s.StartedAt, s.Sequence, s.State = startedAt, sequence, state
+		return &s
+	}
+	const serving, draining = lhconf.Serving, lhconf.Draining
+	cases := []struct {
+		name string
+		// known is the last report before the restore; removed is set if it was removed then.
+		known   *Server
+		removed bool
+		// copied is the entry in the copy, and next what the server reports afterwards; nil
+		// for none.
+		copied, next *Server
+		// want is the server in force at once, and settled after copyGrace; nil for none.
+		want, settled *Server
+	}{
+		{"unchanged", report(7, 3, serving), false, report(7, 3, serving), nil, report(7, 3, serving), report(7, 3, serving)},
+		{"drained since the copy", report(7, 9, draining), false, report(7, 3, serving), nil, report(7, 9, draining), report(7, 9, draining)},
+		{"drained since, reported again", report(7, 9, draining), false, report(7, 3, serving), report(7, 9, draining), report(7, 9, draining), report(7, 9, draining)},
+		{"restarted since the copy", report(8, 1, serving), false, report(7, 30, serving), nil, report(8, 1, serving), report(7, 30, serving)},
+		{"restarted since, reported again", report(8, 1, serving), false, report(7, 30, serving), report(8, 1, serving), report(8, 1, serving), report(8, 1, serving)},
+		{"removed since the copy", report(7, 3, serving), true, report(7, 3, serving), nil, nil, report(7, 3, serving)},
+		{"removed since, reported again", report(7, 3, serving), true, report(7, 3, serving), report(7, 4, serving), report(7, 4, serving), report(7, 4, serving)},
+		{"drained and removed since the copy", report(7, 9, draining), true, report(7, 3, serving), nil, nil, nil},
+		{"new since the copy", report(7, 3, serving), false, nil, nil, report(7, 3, serving), nil},
+		{"new since, reported again", report(7, 3, serving), false, nil, report(7, 3, serving), report(7, 3, serving), report(7, 3, serving)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var d Directory
+			now := time.Second
+			d.Refresh(now, 0)
+			d.Set(*c.known)
+			if c.removed {
+				d.Remove(now, c.known.Name)
+			}
+			now += 300 * time.Millisecond
+			d.Refresh(now, 0)
+			d.Restored(now)
+			if c.copied == nil {
+				d.Remove(now, c.known.Name)
+			} else {
+				d.Set(*c.copied)
+			}
+			if c.next != nil {
+				d.Set(*c.next)
+			}
+			assertInForce(t, &d, now, c.want)
+			now += copyGrace
+			d.Refresh(now, 0)
+			assertInForce(t, &d, now, c.settled)
+		})
+	}
+}
+
+// assertInForce checks which report of server 1 the table has; nil for none.
+func assertInForce(t *testing.T, d *Directory, now time.Duration, want *Server) {
+	t.Helper()
+	got, known := d.Table(now).Server(1)
+	known = known && !d.Table(now).Ended(1)
+	assert.Equal(t, known, want != nil)
+	if known {
+		assert.Equal(t, *got, *want)
+	}
+}
+
+// TestCopiedEntryRemoved checks that a server which is gone stays gone if the store removes
+// its copied entry.
+func TestCopiedEntryRemoved(t *testing.T) {
+	var d Directory
+	d.Refresh(time.Second, 0)
+	s := server(1, "a")
+	d.Set(s)
+	d.Remove(time.Second, s.Name)
+	d.Restored(2 * time.Second)
+	assert.Assert(t, d.Set(s))
+	_, listed := d.Server(s.Name)
+	assert.Assert(t, listed, "other VMs have to know the entry")
+	assert.Assert(t, d.Remove(3*time.Second, s.Name))
+	d.Refresh(time.Minute, 0)
+	assertInForce(t, &d, time.Minute, nil)
+}
+
 // TestTableReused checks that the same table is returned while nothing changes.
 func TestTableReused(t *testing.T) {
 	v := newVM(t, server(1, "a"))
