lhstore, platform: write a VM's entry again at once if a restore has lost it

Seen in TestRegistrarRestoredStore, which failed before (one write in 1.5 s): a VM that had written its entry less than 6 s before the copy's end stayed without it for up to 6 s. It gets no updates meanwhile and reads the store itself.

Cause: the write was taken to last, and a missing entry for one that is not visible yet.

Fix: Put returns the revision of the write. If the known state is of a later era, the write is lost and nothing has to be waited for. In the same era the delay stays, so that an entry that never shows does not cause a write every 0.5 s.

--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -212,10 +212,10 @@
 		Store: m.deps.Store,
 		Key:   m.deps.Codec.MemberKey(s.Name),
 		Data:  entry,
-		Listed: func() (listed, known bool) {
+		Listed: func() (listed bool, at lhstore.Revision) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			return m.members[s.Name] == self, !m.counters.knownRevision().IsZero()
+			return m.members[s.Name] == self, m.counters.knownRevision()
 		},
 		Log: m.log,
 	}.Run(ctx)
--- a/lhstore/registrar.go
+++ b/lhstore/registrar.go
@@ -25,8 +25,8 @@
 
 // Registry is a store in which VMs keep entries.
 type Registry interface {
-	// Put writes a key.
-	Put(ctx context.Context, key string, data []byte) error
+	// Put writes a key and returns the revision of the write.
+	Put(ctx context.Context, key string, data []byte) (Revision, error)
 	// Remove deletes a key if its last change has the given revision. Otherwise the error
 	// has lhcode.PreconditionFailed.
 	Remove(ctx context.Context, key string, revision uint64) error
@@ -39,9 +39,9 @@
 	Store Registry
 	Key   string
 	Data  []byte
-	// Listed reports whether the known state of the store has the entry, and whether any
-	// state is known.
-	Listed func() (listed, known bool)
+	// Listed reports whether the known state of the store has the entry, and the revision of
+	// that state, which is zero if none is known.
+	Listed func() (listed bool, at Revision)
 	Log    zerolog.Logger
 }
 
@@ -67,21 +67,27 @@
 	// next failure.
 	nextWrite  time.Time
 	retryDelay time.Duration
+	// written is the revision of the last successful write.
+	written Revision
 }
 
-// check writes the entry if the store lacks it.
+// check writes the entry if the store lacks it. A store that was restored since the last
+// write has lost it, so that there is nothing to wait for.
 func (l *registrarLoop) check(ctx context.Context) {
-	listed, known := l.Listed()
-	if listed || !known || time.Now().Before(l.nextWrite) {
+	listed, at := l.Listed()
+	lost := !l.written.IsZero() && l.written.Era < at.Era
+	if listed || at.IsZero() || !lost && time.Now().Before(l.nextWrite) {
 		return
 	}
-	if err := l.Store.Put(ctx, l.Key, l.Data); err != nil {
+	written, err := l.Store.Put(ctx, l.Key, l.Data)
+	if err != nil {
 		l.Log.Warn().Err(err).Str("key", l.Key).Dur("retry", l.retryDelay).Msg("failed to write entry in the store")
 		l.nextWrite = time.Now().Add(l.retryDelay)
 		l.retryDelay = min(2*l.retryDelay, registerVisibility)
 		return
 	}
-	l.Log.Info().Str("key", l.Key).Msg("entry in the store written")
+	l.Log.Info().Str("key", l.Key).Stringer("at", written).Msg("entry in the store written")
+	l.written = written
 	l.nextWrite, l.retryDelay = time.Now().Add(registerVisibility), minRegisterDelay
 }
 
--- a/lhstore/registrar_test.go
+++ b/lhstore/registrar_test.go
@@ -18,18 +18,57 @@
 	start  time.Time
 	// failing makes writes fail; listed is what the VM knows of its entry.
 	failing, known, listed bool
+	// era is that of the store.
+	era uint64
 }
 
-func (m *memoryRegistry) Put(context.Context, string, []byte) error {
+func (m *memoryRegistry) Put(context.Context, string, []byte) (Revision, error) {
 	m.writes = append(m.writes, time.Since(m.start))
 	if m.failing {
-		return lhcode.New(lhcode.StoreUnavailable, "down")
+		return Revision{}, lhcode.New(lhcode.StoreUnavailable, "down")
 	}
-	return nil
+	return m.at(), nil
 }
 
+// at returns the revision up to which the store is known.
+func (m *memoryRegistry) at() Revision { return Revision{Era: m.era, Number: 5} }
+
 func (m *memoryRegistry) Remove(context.Context, string, uint64) error { return nil }
 
+// run starts the Registrar of a VM.
+func (m *memoryRegistry) run(ctx context.Context) <-chan error {
+	return Registrar{
+		Store: m, Key: "vm/a", Data: []byte("x"), Log: zerolog.Nop(),
+		Listed: func() (bool, Revision) {
+			if !m.known {
+				return false, Revision{}
+			}
+			return m.listed, m.at()
+		},
+	}.Run(ctx)
+}
+
+// TestRegistrarRestoredStore guards against a VM that stays without an entry for seconds
+// because it counts a write as recent that a restored store has lost.
+func TestRegistrarRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &memoryRegistry{start: time.Now(), known: true, era: 1}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := m.run(ctx)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		m.era = 2
+		time.Sleep(registerInterval)
+		synctest.Wait()
+		assert.Equal(t, len(m.writes), 2, "writes at %v", m.writes)
+		time.Sleep(registerVisibility - time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(m.writes), 2, "writes at %v", m.writes)
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
+
 // TestRegistrar checks when a VM writes its entry.
 func TestRegistrar(t *testing.T) {
 	type step struct {
@@ -51,10 +90,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				m := &memoryRegistry{start: time.Now()}
 				ctx, cancel := context.WithCancel(context.Background())
-				done := Registrar{
-					Store: m, Key: "vm/a", Data: []byte("x"), Log: zerolog.Nop(),
-					Listed: func() (bool, bool) { return m.listed, m.known },
-				}.Run(ctx)
+				done := m.run(ctx)
 				for i, s := range c.steps {
 					m.failing, m.known, m.listed, m.writes = s.failing, s.known, s.listed, nil
 					time.Sleep(15 * time.Second)
