lhstore: give other VMs no new revision with old data

A VM records the revisions of a change before it applies the change. Another VM that asked in between was given the new revision with the data of before, and dropped the real change later as already known: it would have kept an old configuration until the next one.

Cause: the two steps were not atomic for State. Fix: a lock is held over both. A call of State waits for one application of changes at most. TestStateDuringChange failed before ('1 != 2').

--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -4,6 +4,7 @@
 	"compress/gzip"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -156,12 +157,17 @@
 	Consumer Consumer
 	Log      zerolog.Logger
 	state    mirrorState
+	// changing is held while changes are recorded in state and passed to Consumer, so that
+	// State does not combine a new revision with old data.
+	changing sync.Mutex
 }
 
 // State returns the known changes of the store after a revision, or the complete known
 // state if after is zero or not all of these changes are known. Its revision is zero if
 // nothing is known.
 func (m *Mirror) State(after Revision) Update {
+	m.changing.Lock()
+	defer m.changing.Unlock()
 	u := m.state.snapshot(time.Now(), after)
 	held := u.Items[:0]
 	for _, it := range u.Items {
@@ -288,8 +294,7 @@
 		l.state.startHistory(u.Revision)
 	}
 	l.listed, l.missedUpdate = true, Revision{}
-	l.advance(u.Revision, u.Age)
-	l.apply(u.Revision, items)
+	l.change(u.Revision, u.Age, items)
 }
 
 // receive applies an update from another VM. An update of an earlier era holds changes that
@@ -327,15 +332,16 @@
 		l.Log.Debug().Stringer("after", u.After).Stringer("known", known).Bool("listed", u.Listed).Msg("update missed")
 		l.nextRead, l.missedUpdate = time.Now(), later(l.missedUpdate, u.Revision)
 		if hidden {
-			l.apply(u.Revision, u.Items)
+			l.changing.Lock()
+			defer l.changing.Unlock()
+			l.apply(u.Revision.Era, u.Items)
 		}
 		return
 	}
 	if u.Listed {
 		l.state.startHistory(u.Revision)
 	}
-	l.advance(later(known, u.Revision), u.Age)
-	l.apply(u.Revision, u.Items)
+	l.change(later(known, u.Revision), u.Age, u.Items)
 }
 
 // advance records that the state is complete up to a revision that the store had age
@@ -379,8 +385,7 @@
 		l.state.startHistory(result.revision)
 	}
 	l.nextRead = result.asOf
-	l.advance(result.revision, time.Since(result.asOf))
-	changed := l.apply(result.revision, result.items)
+	changed := l.change(result.revision, time.Since(result.asOf), result.items)
 	knownToOthers := !missed.IsZero() && missed.Era == result.revision.Era
 	if !before.IsZero() && !knownToOthers {
 		l.publish(before, result, changed, relisted)
@@ -542,14 +547,23 @@
 	return kept
 }
 
-// apply passes those items of an update or read up to a revision that are newer than the
-// known state to the consumer, and returns those that changed the consumer's state.
-func (l *mirrorLoop) apply(upTo Revision, items []Item) []Item {
-	newer, known := l.state.merge(upTo.Era, items, time.Now())
+// change advances the state to a revision that the store had age ago and applies the items
+// that lead there. It returns those that changed the consumer's state.
+func (l *mirrorLoop) change(revision Revision, age time.Duration, items []Item) []Item {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	l.advance(revision, age)
+	return l.apply(revision.Era, items)
+}
+
+// apply passes those items of an era that are newer than the known state to the consumer,
+// and returns those that changed the consumer's state. The caller holds l.changing.
+func (l *mirrorLoop) apply(era uint64, items []Item) []Item {
+	newer, known := l.state.merge(era, items, time.Now())
 	if n := len(known); n > 0 {
 		last := known[n-1]
 		l.Log.Info().Int("items", len(items)).Int("dropped", n).Str("key", last.Key).
-			Stringer("at", Revision{Era: upTo.Era, Number: last.Revision}).
+			Stringer("at", Revision{Era: era, Number: last.Revision}).
 			Stringer("known", l.state.keyRevision(last.Key)).Msg("items dropped as already known")
 	}
 	if len(newer) == 0 {
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -797,3 +797,38 @@
 	assert.DeepEqual(t, v.values, map[string]string{"b": "2"})
 	assert.DeepEqual(t, v.reachable, []bool{true, false})
 }
+
+// slowConsumer is a Consumer that another VM asks for state while it applies items.
+type slowConsumer struct {
+	*replica
+	asked chan Update
+}
+
+func (c slowConsumer) Apply(items []Item) []Item {
+	answered := make(chan struct{})
+	go func() {
+		c.asked <- c.Mirror.State(Revision{Era: 1, Number: 2})
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(50 * time.Millisecond):
+	}
+	return c.replica.Apply(items)
+}
+
+// TestStateDuringChange guards against a state for another VM that has the revision of a
+// change and the data of before it. That VM would keep the old data.
+func TestStateDuringChange(t *testing.T) {
+	l := newMemoryFeed()
+	l.write("a", "1")
+	v := newReplica(l)
+	v.readAll()
+	asked := make(chan Update, 1)
+	v.Mirror.Consumer = slowConsumer{v, asked}
+	l.write("a", "2")
+	v.readAll()
+	u := <-asked
+	assert.Equal(t, u.Revision, l.at())
+	assert.Equal(t, string(u.Items[0].Data), "2")
+}
