lhstore: take updates of other VMs while the store has to be listed

A VM whose history was lost ignored all updates and asked nobody until it had listed the store. If the store refused this VM alone, it stayed behind while all others knew.

Cause: the flag that asks for a listing was taken for one that the state is unusable. Fix: the state stays complete up to its revision, so updates that follow it are applied and other VMs are asked as usual. TestRefusedAfterHistoryLost failed before in both cases.

--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -204,8 +204,8 @@
 // mirrorLoop is the state of a running Mirror.
 type mirrorLoop struct {
 	*Mirror
-	// listed is set while changes can be followed from the last listing or from the
-	// state of another VM; otherwise the next read lists the store.
+	// listed is set while changes can be followed from the known state; otherwise the next
+	// read lists the store.
 	listed bool
 	// nextRead is when the store is read next. missedUpdate is the revision up to which
 	// other VMs have changes that were missed here, or zero: they know already what is
@@ -249,7 +249,7 @@
 	missed := !l.missedUpdate.IsZero()
 	readAge := l.Distributor.ReadAge()
 	asks := readAge > l.Distributor.MaxAge()
-	if !l.listed || !missed && !asks {
+	if l.state.revision.IsZero() || !missed && !asks {
 		return false
 	}
 	from := FromReader
@@ -306,7 +306,7 @@
 		l.Log.Debug().Stringer("at", u.Revision).Stringer("known", known).Msg("update of an earlier era dropped")
 	case u.After.IsZero():
 		l.receiveComplete(u)
-	case l.listed:
+	case !known.IsZero():
 		l.receiveChanges(u)
 	}
 }
@@ -341,6 +341,7 @@
 	if u.Listed {
 		l.state.startHistory(u.Revision)
 	}
+	l.listed = l.listed || u.Revision.Compare(known) > 0
 	l.change(later(known, u.Revision), u.Age, u.Items)
 }
 
--- a/lhstore/mirror_test.go
+++ b/lhstore/mirror_test.go
@@ -306,7 +306,8 @@
 
 // TestMirrorsConverge checks that after random changes, outages, losses of history,
 // restores from a copy, changes of the reader, lost updates and requests to other VMs all VMs end with the
-// contents of the store, whether they read it themselves or ask a VM that has.
+// contents of the store, whether they read it themselves or ask a VM that has, and that a VM
+// which knows the store's revision has its contents at any time.
 func TestMirrorsConverge(t *testing.T) {
 	for _, fromPeer := range []bool{false, true} {
 		t.Run(fmt.Sprint("from peer ", fromPeer), func(t *testing.T) {
@@ -345,6 +346,11 @@
 		case 8:
 			l.restore(copied)
 		}
+		for i, v := range replicas {
+			if v.state.revision == l.at() && !maps.Equal(v.values, l.values()) {
+				r.Fatalf("VM %d has %v at revision %v, where the store holds %v", i, v.values, l.at(), l.values())
+			}
+		}
 	}
 	l.failing = false
 	l.write("d", "1")
@@ -832,3 +838,44 @@
 	assert.Equal(t, u.Revision, l.at())
 	assert.Equal(t, string(u.Items[0].Data), "2")
 }
+
+// TestRefusedAfterHistoryLost guards against a VM that ignores the other VMs, and so stays
+// behind, while its next read has to be a listing and the store refuses it.
+func TestRefusedAfterHistoryLost(t *testing.T) {
+	cases := []struct {
+		name string
+		// missed is set if the VM misses an update of the reader.
+		missed bool
+	}{
+		{"all updates received", false},
+		{"an update missed", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newMemoryFeed()
+			l.write("a", "1")
+			reader, v := newReplica(l), newReplica(l)
+			reader.readAll()
+			v.readAll()
+			l.write("a", "2")
+			l.dropHistory()
+			reader.readAll()
+			v.read(context.Background())
+			assert.Assert(t, !v.listed)
+			l.write("b", "3")
+			reader.readAll()
+			v.Mirror.Feed = &memoryFeed{failing: true}
+			v.peers = []*replica{reader}
+			for _, u := range reader.sent {
+				if !c.missed || u.Revision == l.at() {
+					v.receive(u)
+				}
+			}
+			if c.missed {
+				v.step(context.Background())
+			}
+			assert.DeepEqual(t, v.values, l.values())
+			assert.Equal(t, v.revision, l.at())
+		})
+	}
+}
