platform: report a removal that a restored store has compared wrongly

Found by looking for comparisons of revisions across a restore. The removal of an absent VM's entry names the revision that the remover knows. A restored store may have given that revision to the entry that the VM has written since, removes it, and the removal was logged as done.

The store offers no condition on its era, so the removal itself can't be prevented.

--- a/lhcode/code.go
+++ b/lhcode/code.go
@@ -53,7 +53,8 @@
 	LeaseLost Code = 205
 	// NotFound means that a key, file, server or revision does not exist.
 	NotFound Code = 206
-	// HistoryLost means that the store no longer has the changes since a revision.
+	// HistoryLost means that the store no longer has the changes since a revision, because it
+	// has dropped its history or was restored from a copy.
 	HistoryLost Code = 208
 	// PreconditionFailed means that the key of a conditional write has changed.
 	PreconditionFailed Code = 207
--- a/lhentry/marked.go
+++ b/lhentry/marked.go
@@ -225,13 +225,14 @@
 const removeTimeout = 500 * time.Millisecond
 
 // removeEntry removes the entry of a VM that is gone. If another VM does so as well, or the
-// VM has come back and written its entry again, the store rejects the call.
+// VM has come back and written its entry again, the store rejects the call. A store that was
+// restored meanwhile may remove the entry of a VM that is back, which then writes it again.
 func (m *Marked) removeEntry(gone lhspread.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
 	defer cancel()
 	key := m.deps.Codec.MemberKey(gone.Name)
 	at := m.mirror.KeyRevision(key)
-	if err := m.deps.Store.Remove(ctx, key, at.Number); err != nil {
+	if err := m.deps.Store.Remove(ctx, key, at); err != nil {
 		m.log.Debug().Err(err).Str("peer", gone.Name).Stringer("at", at).Msg("failed to remove entry of an absent VM")
 		return
 	}
--- a/lhstore/registrar.go
+++ b/lhstore/registrar.go
@@ -28,8 +28,9 @@
 	// Put writes a key and returns the revision of the write.
 	Put(ctx context.Context, key string, data []byte) (Revision, error)
 	// Remove deletes a key if its last change has the given revision. Otherwise the error
-	// has lhcode.PreconditionFailed.
-	Remove(ctx context.Context, key string, revision uint64) error
+	// has lhcode.PreconditionFailed. An error with lhcode.HistoryLost means that the store
+	// has been restored since, and may have deleted an entry that was written later.
+	Remove(ctx context.Context, key string, revision Revision) error
 }
 
 // Registrar maintains the entry of a VM in a store while the VM runs. The entry remains
--- a/lhstore/registrar_test.go
+++ b/lhstore/registrar_test.go
@@ -33,7 +33,7 @@
 // at returns the revision up to which the store is known.
 func (m *memoryRegistry) at() Revision { return Revision{Era: m.era, Number: 5} }
 
-func (m *memoryRegistry) Remove(context.Context, string, uint64) error { return nil }
+func (m *memoryRegistry) Remove(context.Context, string, Revision) error { return nil }
 
 // run starts the Registrar of a VM.
 func (m *memoryRegistry) run(ctx context.Context) <-chan error {
