lhmark: keep the flows of servers that a restored store has lost

Callers saw: open flows were reset although their server served (FLOW).

Cause, from 'store read' with the keys listed: entries that expire shortly before a restore (their servers or the store were cut off, writes were lost) are missing in the restored store, and never come back there although the servers run. In both cases the VM took the store's word for a server's end, and reset its flows.

Fix: a server that is missing because of a restore, or has vanished undrained in the 15 s before it, takes no new flows but keeps its open ones for a minute, like a draining one.

--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -79,13 +79,14 @@
 	m := (*Marked)(s)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if known := m.counters.knownRevision(); !known.IsZero() && known.Era != revision.Era {
-		m.log.Warn().Stringer("known", known).Stringer("at", revision).Msg("store was restored from a copy")
-		m.directory.Restored(m.now())
-	}
+	known := m.counters.knownRevision()
 	m.counters.storeRevision.Store(&revision)
 	m.counters.storeTime.Store(int64(m.now() - age))
 	m.directory.Refresh(m.now(), age)
+	if !known.IsZero() && known.Era != revision.Era {
+		m.log.Warn().Stringer("known", known).Stringer("at", revision).Msg("store was restored from a copy")
+		m.directory.Restored(m.now())
+	}
 }
 
 // ReachabilityChanged implements lhstore.Consumer.
--- a/lhmark/config.go
+++ b/lhmark/config.go
@@ -56,3 +56,11 @@
 func (s *Server) equal(o *Server) bool {
 	return s.BackendServer == o.BackendServer && s.TargetID == o.TargetID && s.StartedAt == o.StartedAt
 }
+
+// draining returns the server with the state in which it keeps its flows and takes no new
+// ones.
+func (s *Server) draining() *Server {
+	d := *s
+	d.State = lhconf.Draining
+	return &d
+}
--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -1,6 +1,10 @@
 package lhmark
 
-import "time"
+import (
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+)
 
 const (
 	// outageThreshold is the age of the known state above which the store counts as
@@ -14,6 +18,9 @@
 	// from an earlier state. A server that runs reports by then, and the entry of one that
 	// does not has expired.
 	copyGrace = 5 * time.Second
+	// maxCopyAge is the time before a restore of the store in which entries may have been
+	// written again that the copy lacks. It covers the age of the copy and the outage.
+	maxCopyAge = 15 * time.Second
 	// endedRetention is how long a server that has ended stays known, so that its flows can
 	// be reset. It is the longest flow lifetime that the platform guarantees.
 	endedRetention = 60 * time.Second
@@ -34,6 +41,8 @@
 	// restoredAt is when the store was first seen after it was restored from a copy; 0 for
 	// never.
 	restoredAt time.Duration
+	// listingCopy is set while the first listing after a restore is recorded.
+	listingCopy bool
 	// stale is set when table is out of date.
 	stale bool
 	table *Table
@@ -48,10 +57,13 @@
 	// confirmAt is the time as of which the state of the store has to be known for
 	// the server to count as ended.
 	confirmAt time.Duration
-	// ended is set once the server counts as ended.
+	// ended is set once the server counts as ended, so that it takes no new flows.
 	ended bool
-	// copied is the entry that the store has if it may be older than what is known of the
-	// server; nil otherwise.
+	// lost is set if a restore of the store may be the reason why the entry is missing. The
+	// server may run all the same, so that its flows are kept.
+	lost bool
+	// copied is the server as it is once its entry in a restored store no longer counts as
+	// copied from an earlier state; nil if server says so already.
 	copied *Server
 }
 
@@ -64,15 +76,16 @@
 	return true
 }
 
-// Set records the entry of a server and reports whether it changes anything. After a
-// restore of the store, an entry that may be older than what is known does not take effect
-// before copyGrace has passed, and never if the same run of the server has reported later.
+// Set records the entry of a server and reports whether it changes anything. Until copyGrace
+// after a restore of the store, an entry that may be older than what is known does not
+// replace that, and a server that was removed is back for its flows only.
 func (d *Directory) Set(s Server) bool {
 	if d.servers == nil {
 		d.servers = make(map[string]*serverEntry)
 	}
 	entry := d.servers[s.Name]
-	if entry != nil && d.restoredAt > 0 && d.asOf < d.restoredAt+copyGrace && entry.holdBack(&s) {
+	if entry != nil && d.restoredAt > 0 && d.asOf < d.restoredAt+copyGrace && d.mayPrecede(&s, entry) {
+		d.setCopied(entry, &s)
 		return true
 	}
 	if entry != nil && !entry.missing && entry.server.equal(&s) {
@@ -89,15 +102,12 @@
 // whether that is a change. An entry that is missing after an outage may come back.
 func (d *Directory) Remove(now time.Duration, name string) bool {
 	entry := d.servers[name]
-	if entry == nil {
+	if entry == nil || entry.missing {
 		return false
 	}
-	wasCopied := entry.copied != nil
 	entry.copied = nil
-	if entry.missing {
-		return wasCopied
-	}
 	entry.missing, entry.missingSince, entry.confirmAt = true, now, d.asOf
+	entry.lost = d.listingCopy
 	if d.reconnectedAt > 0 {
 		entry.confirmAt = max(d.asOf, d.reconnectedAt+restoreGrace)
 	}
@@ -108,6 +118,7 @@
 // Refresh records that the state of the store of some time ago is known, or will be
 // once the changes that follow have been recorded.
 func (d *Directory) Refresh(now, age time.Duration) {
+	d.listingCopy = false
 	if !d.synced {
 		d.synced, d.asOf = true, now-age
 		return
@@ -119,8 +130,17 @@
 }
 
 // Restored records that the store has been restored from a copy some seconds old, which
-// lacks the latest entries. Call it before the entries of the copy are recorded.
-func (d *Directory) Restored(now time.Duration) { d.reconnectedAt, d.restoredAt = now, now }
+// lacks the latest entries. The changes that are recorded until the next call of Refresh
+// result from the first listing of the copy.
+func (d *Directory) Restored(now time.Duration) {
+	d.reconnectedAt, d.restoredAt, d.listingCopy = now, now, true
+	for _, entry := range d.servers {
+		if entry.missing && now-entry.missingSince <= maxCopyAge && entry.server.State != lhconf.Draining {
+			entry.keepFlows()
+			d.stale = true
+		}
+	}
+}
 
 // Current reports whether the directory is up to date, so that a server or route
 // missing from it does not exist.
@@ -135,9 +155,9 @@
 func (d *Directory) Server(name string) (Server, bool) {
 	entry := d.servers[name]
 	switch {
-	case entry == nil || entry.missing && entry.copied == nil:
+	case entry == nil || entry.missing:
 		return Server{}, false
-	case entry.missing:
+	case entry.copied != nil && entry.copied.StartedAt >= entry.server.StartedAt:
 		return *entry.copied, true
 	}
 	return *entry.server, true
@@ -155,6 +175,9 @@
 		}
 		if !entry.ended && d.asOf >= entry.confirmAt {
 			entry.ended, d.stale = true, true
+			if entry.lost {
+				entry.keepFlows()
+			}
 		}
 		if entry.ended && now-entry.missingSince > endedRetention {
 			delete(d.servers, name)
@@ -166,7 +189,7 @@
 	}
 	var present, ended []*Server
 	for _, entry := range d.servers {
-		if entry.ended {
+		if entry.ended && !entry.lost {
 			ended = append(ended, entry.server)
 		} else {
 			present = append(present, entry.server)
@@ -176,18 +199,35 @@
 	return d.table
 }
 
-// holdBack reports whether an entry of a restored store may be older than what is known of
-// the server. It keeps the entry unless it is certainly older.
-func (e *serverEntry) holdBack(s *Server) bool {
-	known := e.server
-	sameStart := s.StartedAt == known.StartedAt
-	laterReportKnown := sameStart && s.Sequence < known.Sequence
-	removedSince := sameStart && s.Sequence == known.Sequence && e.missing
-	if s.StartedAt > known.StartedAt || sameStart && !laterReportKnown && !removedSince {
-		return false
+// mayPrecede reports whether an entry of a restored store may be older than what is known of
+// the server: a later run, a later report, or the removal of the same report before the
+// restore.
+func (d *Directory) mayPrecede(s *Server, known *serverEntry) bool {
+	if s.StartedAt != known.server.StartedAt {
+		return s.StartedAt < known.server.StartedAt
 	}
-	if !laterReportKnown || s.StartedAt == 0 {
-		e.copied = s
+	removed := known.missing && known.missingSince < d.restoredAt
+	return s.Sequence < known.server.Sequence || removed && s.Sequence == known.server.Sequence
+}
+
+// setCopied records an entry of a restored store that may be older than what is known.
+func (d *Directory) setCopied(known *serverEntry, s *Server) {
+	settled := s
+	if s.StartedAt == known.server.StartedAt && s.StartedAt != 0 && s.Sequence < known.server.Sequence {
+		settled = known.server
+	}
+	if !known.missing {
+		known.copied = settled
+		return
+	}
+	d.servers[s.Name] = &serverEntry{server: settled.draining(), copied: settled}
+	d.stale = true
+}
+
+// keepFlows marks a missing entry as lost by the store.
+func (e *serverEntry) keepFlows() {
+	e.lost = true
+	if e.ended {
+		e.server = e.server.draining()
 	}
-	return true
 }
