cmd, platform/stand: restore the store from a copy in the soak

The soak takes copies of the store and restores it from the last one; the operator's and the servers' keys are then written again, the VMs' entries are not. -soak.vms sets the number of VMs, so that a run by hand can be as large as the machine bears.

--- a/cmd/laburnumhollow/soak_test.go
+++ b/cmd/laburnumhollow/soak_test.go
@@ -32,6 +32,7 @@
 	soakSeed  = flag.Uint64("soak.seed", 0, "first seed of the soak test; 0 runs the regression seeds")
 	soakSeeds = flag.Int("soak.seeds", 1, "number of consecutive seeds")
 	soakTime  = flag.Duration("soak.time", 6*time.Second, "how long faults are injected for each seed")
+	soakVMs   = flag.Int("soak.vms", 4, "number of VMs, at most 90")
 )
 
 // regressionSeeds are seeds that failed once, and the seed of the short run in CI:
@@ -43,7 +44,6 @@
 var regressionSeeds = []uint64{1}
 
 const (
-	soakVMs     = 4
 	soakServers = 5
 	soakCallers = 6
 	// firstCaller is the last byte of the first caller's address, after those of the VMs.
@@ -80,6 +80,8 @@
 	vms     []*soakVM
 	callers []*lhplatformstand.Caller
 	version int
+	// copied is a copy of the store from which it is restored.
+	copied lhplatformstand.Backup
 
 	mu      sync.Mutex
 	servers []*soakServer
@@ -116,7 +118,8 @@
 	for range soakServers {
 		s.addServer()
 	}
-	var ports [soakVMs][]netip.AddrPort
+	s.copied = s.store.Backup()
+	ports := make([][]netip.AddrPort, *soakVMs)
 	var contacts []string
 	for i := range ports {
 		ports[i] = freePorts(t, soakHost(1+i), 3)
@@ -402,7 +405,7 @@
 // it needs no undoing.
 func (s *soak) startDisturbance(duration time.Duration) (undo func()) {
 	v := s.vms[s.random.IntN(len(s.vms))]
-	switch s.random.IntN(11) {
+	switch s.random.IntN(14) {
 	case 0, 1:
 		return s.stopVM(v, syscall.SIGKILL)
 	case 2:
@@ -431,6 +434,12 @@
 		s.configure()
 	case 10:
 		return s.replaceServer()
+	case 11, 12:
+		s.addStep("copy of the store taken")
+		s.copied = s.store.Backup()
+	case 13:
+		s.addStep("store restored from the copy")
+		s.store.RestoreAndRewrite(s.copied)
 	}
 	return nil
 }
