lhmark: hold back an entry that two copies in a row list

Found by reading the change before: where the store is restored again within 5 s, a server that is gone and is in both copies took new flows at the second listing, as it counted as listed since. TestRestoredTwice failed before (serving where draining is wanted).

--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -206,7 +206,7 @@
 	if s.StartedAt != known.server.StartedAt {
 		return s.StartedAt < known.server.StartedAt
 	}
-	removed := known.missing && known.missingSince < d.restoredAt
+	removed := known.missing && known.missingSince < d.restoredAt || known.copied != nil && d.listingCopy
 	return s.Sequence < known.server.Sequence || removed && s.Sequence == known.server.Sequence
 }
 
--- a/lhmark/directory_test.go
+++ b/lhmark/directory_test.go
@@ -174,6 +174,25 @@
 	}
 }
 
+// TestRestoredTwice guards against new flows to a server that is gone if two copies in a row
+// list it.
+func TestRestoredTwice(t *testing.T) {
+	var d Directory
+	d.Refresh(time.Second, 0)
+	s := server(1, "a")
+	d.Set(s)
+	d.Remove(time.Second, s.Name)
+	for now := 2 * time.Second; now <= 3*time.Second; now += time.Second {
+		d.Refresh(now, 0)
+		d.Restored(now)
+		d.Set(s)
+		assertInForce(t, &d, now, s.draining())
+	}
+	d.Refresh(4*time.Second, 0)
+	d.Set(s)
+	assertInForce(t, &d, 4*time.Second, &s)
+}
+
 // TestCopiedEntryRemoved checks that a server which is gone stays gone if the store removes
 // its copied entry.
 func TestCopiedEntryRemoved(t *testing.T) {
