lhmark: move what follows a restored store into a file of its own

The grace for entries that are missing after an outage is named relistGrace, since Restored now means the store. No change of behaviour.

--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -1,26 +1,15 @@
 package lhmark
 
-import (
-	"time"
-
-	"github.com/laburnumhollow/laburnumhollow/lhconf"
-)
+import "time"
 
 const (
 	// outageThreshold is the age of the known state above which the store counts as
 	// having been unreachable. VMs read the store or receive its changes more often
 	// than this, and entries outlive a shorter silence.
 	outageThreshold = 2 * time.Second
-	// restoreGrace is how long after an outage of the store a server that it does not list
+	// relistGrace is how long after an outage of the store a server that it does not list
 	// still counts as present. Running servers are listed again within two seconds.
-	restoreGrace = 2500 * time.Millisecond
-	// copyGrace is how long after a restore of the store an entry counts as possibly copied
-	// from an earlier state. A server that runs reports by then, and the entry of one that
-	// does not has expired.
-	copyGrace = 5 * time.Second
-	// maxCopyAge is the time before a restore of the store in which entries may have been
-	// written again that the copy lacks. It covers the age of the copy and the outage.
-	maxCopyAge = 15 * time.Second
+	relistGrace = 2500 * time.Millisecond
 	// endedRetention is how long a server that has ended stays known, so that its flows can
 	// be reset. It is the longest flow lifetime that the platform guarantees.
 	endedRetention = 60 * time.Second
@@ -109,7 +98,7 @@
 	entry.missing, entry.missingSince, entry.confirmAt = true, now, d.asOf
 	entry.lost = d.listingCopy
 	if d.reconnectedAt > 0 {
-		entry.confirmAt = max(d.asOf, d.reconnectedAt+restoreGrace)
+		entry.confirmAt = max(d.asOf, d.reconnectedAt+relistGrace)
 	}
 	d.stale = true
 	return true
@@ -129,19 +118,6 @@
 	d.asOf = max(d.asOf, now-age)
 }
 
-// Restored records that the store has been restored from a copy some seconds old, which
-// lacks the latest entries. The changes that are recorded until the next call of Refresh
-// result from the first listing of the copy.
-func (d *Directory) Restored(now time.Duration) {
-	d.reconnectedAt, d.restoredAt, d.listingCopy = now, now, true
-	for _, entry := range d.servers {
-		if entry.missing && now-entry.missingSince <= maxCopyAge && entry.server.State != lhconf.Draining {
-			entry.keepFlows()
-			d.stale = true
-		}
-	}
-}
-
 // Current reports whether the directory is up to date, so that a server or route
 // missing from it does not exist.
 func (d *Directory) Current(now time.Duration) bool {
@@ -198,36 +174,3 @@
 	d.table, d.stale = newTable(d.cfg, present, ended), false
 	return d.table
 }
-
-// mayPrecede reports whether an entry of a restored store may be older than what is known of
-// the server: a later run, a later report, or the removal of the same report before the
-// restore.
-func (d *Directory) mayPrecede(s *Server, known *serverEntry) bool {
-	if s.StartedAt != known.server.StartedAt {
-		return s.StartedAt < known.server.StartedAt
-	}
-	removed := known.missing && known.missingSince < d.restoredAt || known.copied != nil && d.listingCopy
-	return s.Sequence < known.server.Sequence || removed && s.Sequence == known.server.Sequence
-}
-
-// setCopied records an entry of a restored store that may be older than what is known.
-func (d *Directory) setCopied(known *serverEntry, s *Server) {
-	settled := s
-	if s.StartedAt == known.server.StartedAt && s.StartedAt != 0 && s.Sequence < known.server.Sequence {
-		settled = known.server
-	}
-	if !known.missing {
-		known.copied = settled
-		return
-	}
-	d.servers[s.Name] = &serverEntry{server: settled.draining(), copied: settled}
-	d.stale = true
-}
-
-// keepFlows marks a missing entry as lost by the store.
-func (e *serverEntry) keepFlows() {
-	e.lost = true
-	if e.ended {
-		e.server = e.server.draining()
-	}
-}
--- a/lhmark/directory_test.go
+++ b/lhmark/directory_test.go
@@ -234,7 +234,7 @@
 	assert.Assert(t, d.Current(now))
 	assert.Assert(t, d.Remove(now, s.Name))
 	assert.Equal(t, d.Table(now).Ended(s.Number), false)
-	now += restoreGrace
+	now += relistGrace
 	d.Refresh(now, 0)
 	assert.Equal(t, d.Table(now).Ended(s.Number), true)
 }
--- /dev/null
+++ b/lhmark/restored_store.go
@@ -0,0 +1,63 @@
+package lhmark
+
+import (
+	"time"
+
+	"github.com/laburnumhollow/laburnumhollow/lhconf"
+)
+
+const (
+	// copyGrace is how long after a restore of the store an entry counts as possibly copied
+	// from an earlier state. A server that runs reports by then, and the entry of one that
+	// does not has expired.
+	copyGrace = 5 * time.Second
+	// maxCopyAge is the time before a restore of the store in which entries may have been
+	// written again that the copy lacks. It covers the age of the copy and the outage.
+	maxCopyAge = 15 * time.Second
+)
+
+// Restored records that the store has been restored from a copy some seconds old, which
+// lacks the latest entries. The changes that are recorded until the next call of Refresh
+// result from the first listing of the copy.
+func (d *Directory) Restored(now time.Duration) {
+	d.reconnectedAt, d.restoredAt, d.listingCopy = now, now, true
+	for _, entry := range d.servers {
+		if entry.missing && now-entry.missingSince <= maxCopyAge && entry.server.State != lhconf.Draining {
+			entry.keepFlows()
+			d.stale = true
+		}
+	}
+}
+
+// mayPrecede reports whether an entry of a restored store may be older than what is known of
+// the server: a later run, a later report, or the removal of the same report before the
+// restore.
+func (d *Directory) mayPrecede(s *Server, known *serverEntry) bool {
+	if s.StartedAt != known.server.StartedAt {
+		return s.StartedAt < known.server.StartedAt
+	}
+	removed := known.missing && known.missingSince < d.restoredAt || known.copied != nil && d.listingCopy
+	return s.Sequence < known.server.Sequence || removed && s.Sequence == known.server.Sequence
+}
+
+// setCopied records an entry of a restored store that may be older than what is known.
+func (d *Directory) setCopied(known *serverEntry, s *Server) {
+	settled := s
+	if s.StartedAt == known.server.StartedAt && s.StartedAt != 0 && s.Sequence < known.server.Sequence {
+		settled = known.server
+	}
+	if !known.missing {
+		known.copied = settled
+		return
+	}
+	d.servers[s.Name] = &serverEntry{server: settled.draining(), copied: settled}
+	d.stale = true
+}
+
+// keepFlows marks a missing entry as lost by the store.
+func (e *serverEntry) keepFlows() {
+	e.lost = true
+	if e.ended {
+		e.server = e.server.draining()
+	}
+}
