lhentry: log which entries a restored store puts in doubt

An entry that is held back after a restore was logged as if it were in force, and a server whose flows are kept as removed, so that a flow's path could not be told from the log. Both lines now say 'doubtful'. TestMarkedRestoredServers checks it. No change of behaviour.

--- a/lhentry/marked_store.go
+++ b/lhentry/marked_store.go
@@ -132,7 +132,8 @@
 	if item.Deleted {
 		removed := m.directory.Remove(m.now(), name)
 		if removed {
-			m.log.Info().Str("server", name).Uint64("at", item.Revision).Msg("backend server removed")
+			m.log.Info().Str("server", name).Uint64("at", item.Revision).
+				Bool("doubtful", m.directory.Doubtful(name)).Msg("backend server removed")
 		}
 		return removed
 	}
@@ -149,10 +150,12 @@
 	return changed
 }
 
+// logServer logs the entry of a server in the store. The caller holds m.mu.
 func (m *Marked) logServer(s *lhmark.Server, revision uint64) {
 	m.log.Info().Str("server", s.Name).Str("service", s.Service).Stringer("address", s.Address).
 		Str("datacentre", s.DataCentre).Stringer("state", s.State).Dur("warmup", s.Warmup).
-		Int64("born", s.StartedAt).Uint64("at", revision).Msg("backend server")
+		Int64("born", s.StartedAt).Uint64("at", revision).
+		Bool("doubtful", m.directory.Doubtful(s.Name)).Msg("backend server")
 }
 
 func (m *Marked) applyConfig(item lhstore.Item) bool {
--- a/lhentry/marked_test.go
+++ b/lhentry/marked_test.go
@@ -524,6 +524,10 @@
 		f.request(f.open())
 	}
 	assert.Equal(t, f.servers[0].FlowsOpened(), before, "new flows to a draining server")
+	for _, message := range []string{"backend server", "backend server removed"} {
+		doubtful := slices.ContainsFunc(f.vms[0].log.lines(message), func(line map[string]any) bool { return line["doubtful"] == true })
+		assert.Assert(t, doubtful, "no line %q says that the entry is in doubt", message)
+	}
 }
 
 // listed returns a condition that all VMs have a number of servers for new flows.
--- a/lhmark/restored_store.go
+++ b/lhmark/restored_store.go
@@ -29,6 +29,13 @@
 	}
 }
 
+// Doubtful reports whether a restore of the store puts the entry of a server, or its absence,
+// in doubt, so that it does not take full effect.
+func (d *Directory) Doubtful(name string) bool {
+	entry := d.servers[name]
+	return entry != nil && (entry.copied != nil || entry.lost)
+}
+
 // mayPrecede reports whether an entry of a restored store may be older than what is known of
 // the server: a later run, a later report, or the removal of the same report before the
 // restore.
