lhstore: guard the registry of the tests with a lock

The race detector reported it in TestRegistrar and in TestRegistrarRestoredStore: the test changes what the store does while the Registrar may read it. Only the test is affected. The checks are as strict: one write before the restore, one at once after it, none after that.

--- a/lhstore/registrar_test.go
+++ b/lhstore/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 
 // memoryRegistry is a Registry that records when its key was written.
 type memoryRegistry struct {
+	mu     sync.Mutex
 	writes []time.Duration
 	start  time.Time
 	// failing makes writes fail; listed is what the VM knows of its entry.
@@ -23,6 +25,8 @@
 }
 
 func (m *memoryRegistry) Put(context.Context, string, []byte) (Revision, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.writes = append(m.writes, time.Since(m.start))
 	if m.failing {
 		return Revision{}, lhcode.New(lhcode.StoreUnavailable, "down")
@@ -30,16 +34,27 @@
 	return m.at(), nil
 }
 
-// at returns the revision up to which the store is known.
+// at returns the revision up to which the store is known. The caller holds m.mu.
 func (m *memoryRegistry) at() Revision { return Revision{Era: m.era, Number: 5} }
 
 func (m *memoryRegistry) Remove(context.Context, string, Revision) error { return nil }
 
+// change changes what the store does and returns the times of the writes before.
+func (m *memoryRegistry) change(f func()) (writes []time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	writes, m.writes = m.writes, nil
+	f()
+	return writes
+}
+
 // run starts the Registrar of a VM.
 func (m *memoryRegistry) run(ctx context.Context) <-chan error {
 	return Registrar{
 		Store: m, Key: "vm/a", Data: []byte("x"), Log: zerolog.Nop(),
 		Listed: func() (bool, Revision) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
 			if !m.known {
 				return false, Revision{}
 			}
@@ -57,13 +72,16 @@
 		done := m.run(ctx)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		m.era = 2
+		writes := m.change(func() { m.era = 2 })
+		assert.Equal(t, len(writes), 1, "writes at %v", writes)
 		time.Sleep(registerInterval)
 		synctest.Wait()
-		assert.Equal(t, len(m.writes), 2, "writes at %v", m.writes)
+		writes = m.change(func() {})
+		assert.Equal(t, len(writes), 1, "writes at %v", writes)
 		time.Sleep(registerVisibility - time.Second)
 		synctest.Wait()
-		assert.Equal(t, len(m.writes), 2, "writes at %v", m.writes)
+		writes = m.change(func() {})
+		assert.Equal(t, len(writes), 0, "writes at %v", writes)
 		cancel()
 		assert.NilError(t, <-done)
 	})
@@ -92,10 +110,11 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				done := m.run(ctx)
 				for i, s := range c.steps {
-					m.failing, m.known, m.listed, m.writes = s.failing, s.known, s.listed, nil
+					m.change(func() { m.failing, m.known, m.listed = s.failing, s.known, s.listed })
 					time.Sleep(15 * time.Second)
 					synctest.Wait()
-					assert.Equal(t, len(m.writes), s.writes, "step %d: writes after %v", i, m.writes)
+					writes := m.change(func() {})
+					assert.Equal(t, len(writes), s.writes, "step %d: writes after %v", i, writes)
 				}
 				cancel()
 				assert.NilError(t, <-done)
