lhmark, lhstore: name what is held back after a restore, and split read

An entry's heldBack says what replaces the server later; holdBack and mayBeOlder follow it. The delay after a failed read is a method.

--- a/lhmark/directory.go
+++ b/lhmark/directory.go
@@ -54,9 +54,9 @@
 	// lost is set if a restore of the store may be the reason why the entry is missing. The
 	// server may run all the same, so that its flows are kept.
 	lost bool
-	// copied is the server as it is once its entry in a restored store no longer counts as
-	// copied from an earlier state; nil if server says so already.
-	copied *Server
+	// heldBack replaces server copyGrace after a restore of the store, unless the entry changes
+	// before; nil for none.
+	heldBack *Server
 }
 
 // SetConfig replaces the configuration by a newer one and reports whether it did.
@@ -76,14 +76,14 @@
 		d.servers = make(map[string]*serverEntry)
 	}
 	entry := d.servers[s.Name]
-	if entry != nil && d.restoredAt > 0 && d.asOf < d.restoredAt+copyGrace && d.mayPrecede(&s, entry) {
-		d.setCopied(entry, &s)
+	if entry != nil && d.restoredAt > 0 && d.asOf < d.restoredAt+copyGrace && d.mayBeOlder(&s, entry) {
+		d.holdBack(entry, &s)
 		return true
 	}
 	if entry != nil && !entry.missing && entry.server.equal(&s) {
-		wasCopied := entry.copied != nil
-		entry.copied, entry.sequence = nil, s.Sequence
-		return wasCopied
+		wasHeldBack := entry.heldBack != nil
+		entry.heldBack, entry.sequence = nil, s.Sequence
+		return wasHeldBack
 	}
 	d.servers[s.Name] = &serverEntry{server: &s, sequence: s.Sequence}
 	d.stale = true
@@ -97,7 +97,7 @@
 	if entry == nil || entry.missing {
 		return false
 	}
-	entry.copied = nil
+	entry.heldBack = nil
 	entry.missing, entry.missingSince, entry.confirmAt = true, now, d.asOf
 	entry.lost = d.listingCopy
 	if d.reconnectedAt > 0 {
@@ -136,8 +136,8 @@
 	switch {
 	case entry == nil || entry.missing:
 		return Server{}, false
-	case entry.copied != nil && entry.copied.StartedAt >= entry.server.StartedAt:
-		return *entry.copied, true
+	case entry.heldBack != nil && entry.heldBack.StartedAt >= entry.server.StartedAt:
+		return *entry.heldBack, true
 	}
 	s := *entry.server
 	s.Sequence = entry.sequence
@@ -147,7 +147,7 @@
 // Table returns the table of the current state, the same one until the state changes.
 func (d *Directory) Table(now time.Duration) *Table {
 	for name, entry := range d.servers {
-		if entry.copied != nil && d.asOf >= d.restoredAt+copyGrace {
+		if entry.heldBack != nil && d.asOf >= d.restoredAt+copyGrace {
 			entry = entry.settle()
 			d.servers[name], d.stale = entry, true
 		}
--- a/lhmark/restored_store.go
+++ b/lhmark/restored_store.go
@@ -33,41 +33,41 @@
 // in doubt, so that it does not take full effect.
 func (d *Directory) Doubtful(name string) bool {
 	entry := d.servers[name]
-	return entry != nil && (entry.copied != nil || entry.lost)
+	return entry != nil && (entry.heldBack != nil || entry.lost)
 }
 
-// mayPrecede reports whether an entry of a restored store may be older than what is known of
+// mayBeOlder reports whether an entry of a restored store may be older than what is known of
 // the server: a later run, a later report, or the removal of the same report before the
 // restore.
-func (d *Directory) mayPrecede(s *Server, known *serverEntry) bool {
+func (d *Directory) mayBeOlder(s *Server, known *serverEntry) bool {
 	if s.StartedAt != known.server.StartedAt {
 		return s.StartedAt < known.server.StartedAt
 	}
-	removed := known.missing && known.missingSince < d.restoredAt || known.copied != nil && d.listingCopy
+	removed := known.missing && known.missingSince < d.restoredAt || known.heldBack != nil && d.listingCopy
 	return s.Sequence < known.sequence || removed && s.Sequence == known.sequence
 }
 
-// setCopied records an entry of a restored store that may be older than what is known.
-func (d *Directory) setCopied(known *serverEntry, s *Server) {
+// holdBack records an entry of a restored store that may be older than what is known.
+func (d *Directory) holdBack(known *serverEntry, s *Server) {
 	settled, sequence := s, s.Sequence
 	if s.StartedAt == known.server.StartedAt && s.StartedAt != 0 && s.Sequence < known.sequence {
 		settled, sequence = known.server, known.sequence
 	}
 	if !known.missing {
-		known.copied = settled
+		known.heldBack = settled
 		return
 	}
-	d.servers[s.Name] = &serverEntry{server: settled.draining(), sequence: sequence, copied: settled}
+	d.servers[s.Name] = &serverEntry{server: settled.draining(), sequence: sequence, heldBack: settled}
 	d.stale = true
 }
 
 // settle returns the entry with what was held back in force.
 func (e *serverEntry) settle() *serverEntry {
-	sequence := e.copied.Sequence
-	if e.copied.StartedAt == e.server.StartedAt {
+	sequence := e.heldBack.Sequence
+	if e.heldBack.StartedAt == e.server.StartedAt {
 		sequence = e.sequence
 	}
-	return &serverEntry{server: e.copied, sequence: sequence}
+	return &serverEntry{server: e.heldBack, sequence: sequence}
 }
 
 // keepFlows marks a missing entry as lost by the store.
--- a/lhstore/mirror.go
+++ b/lhstore/mirror.go
@@ -366,9 +366,7 @@
 	}
 	l.reportReachability(ctx, err)
 	if err != nil {
-		l.retryDelay = max(l.retryDelay, l.firstRetryDelay())
-		l.nextRead = time.Now().Add(l.retryDelay)
-		l.retryDelay = min(2*l.retryDelay, l.maxRetryDelay())
+		l.retryLater()
 		return
 	}
 	missed := l.missedUpdate
@@ -410,6 +408,13 @@
 	})
 }
 
+// retryLater delays the next read after a failed one.
+func (l *mirrorLoop) retryLater() {
+	l.retryDelay = max(l.retryDelay, l.firstRetryDelay())
+	l.nextRead = time.Now().Add(l.retryDelay)
+	l.retryDelay = min(2*l.retryDelay, l.maxRetryDelay())
+}
+
 // firstRetryDelay returns the delay after the first of several failing calls. A VM that
 // steps in for others leaves it to them to notice quickly that the store is back.
 func (l *mirrorLoop) firstRetryDelay() time.Duration {
