--- /dev/null
+++ b/review/stand/full.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxConnections is the number of flows that an endpoint holds, and fullSlots the number of
+	// requests that it runs at the same time.
+	maxConnections, fullSlots = 2000, 2
+	// spareConnections is the number of flows for which each endpoint still has room.
+	spareConnections = 10
+	// fullIdleTimeout is the idle timeout of the configuration. All idle flows are younger.
+	fullIdleTimeout = 60 * time.Second
+	// feedBudget is the time budget of a request.
+	feedBudget = 2 * time.Second
+	// calmUsers is the number of users who make requests all the time, and burstUsers that of
+	// all users while many come at once.
+	calmUsers, burstUsers = 12, 30
+	// calmLength and burstLength are the duration of either.
+	calmLength, burstLength = 5 * time.Second, 20 * time.Second
+	// openers is the number of flows that are opened at the same time.
+	openers = 20
+)
+
+// fullRun is the state of the case in which endpoints hold as many flows as they can.
+type fullRun struct {
+	e *environment
+	q *requester
+	r route
+	// served and reset count the requests that were served, and the open flows that the system
+	// has reset.
+	served, rejected, unopened, reset, failed atomic.Int64
+}
+
+// runFull opens nearly as many flows as the endpoints hold and leaves them idle. A few users
+// make requests, each on a flow of its own. The disruption is that many users come at once:
+// the endpoints run as many requests as they can, and leave SYNs unanswered while they are
+// full.
+func runFull(ctx context.Context, e *environment, trouble bool) (int, error) {
+	c := newConfiguration(int(fullIdleTimeout.Milliseconds()), maxConnections, "feed")
+	c.Routes = append(c.Routes, newRoute(1, "safe", "feed"))
+	e.put(c)
+	zones := []string{"a", "b", "c"}
+	for i := range byte(6) {
+		if _, err := e.startVM(ctx, zones[i%3], 1+i); err != nil {
+			return 0, err
+		}
+	}
+	for i := range byte(3) {
+		if _, err := e.startEndpoint(21+i, "feed", zones[i], fullSlots, maxConnections); err != nil {
+			return 0, err
+		}
+	}
+	q, err := e.startRequester(11)
+	if err != nil {
+		return 0, err
+	}
+	if err := e.awaitRotation(ctx, 6); err != nil {
+		return 0, err
+	}
+	time.Sleep(4 * time.Second)
+	f := &fullRun{e: e, q: q, r: c.Routes[0]}
+	idle := f.fill()
+	for _, s := range e.endpoints {
+		s.mu.Lock()
+		e.rec.printf("endpoint %s holds %d flows", s.name, s.openFlows())
+		s.mu.Unlock()
+	}
+	f.users(calmUsers, calmLength)
+	users := burstUsers
+	if !trouble {
+		users = calmUsers
+	}
+	f.users(users, burstLength)
+	for _, i := range idle {
+		if i.resetBy() == errSystemReset {
+			f.reset.Add(1)
+		}
+	}
+	e.rec.summary("%d requests served, %d rejected, %d flows not opened, %d requests failed; %d open flows reset by the system though their endpoints live",
+		f.served.Load(), f.rejected.Load(), f.unopened.Load(), f.failed.Load(), f.reset.Load())
+	return int(f.reset.Load()), nil
+}
+
+// work returns how long a request takes: 39 ms in the middle and at most 230 ms.
+func work() time.Duration {
+	const median, spread, most = 39, 0.5, 230
+	return time.Duration(min(median*math.Exp(spread*rand.NormFloat64()), most) * float64(time.Millisecond))
+}
+
+// users lets a number of users make requests one after the other for some time.
+func (f *fullRun) users(count int, length time.Duration) {
+	f.e.rec.printf("%d users", count)
+	end := time.Now().Add(length)
+	var wg sync.WaitGroup
+	for u := range count {
+		wg.Go(func() {
+			time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
+			for i := 0; time.Now().Before(end); i++ {
+				f.request(fmt.Sprintf("user-%d-%d-%d", count, u, i))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// request makes a request on a flow of its own.
+func (f *fullRun) request(id string) {
+	flow := f.q.newFlow(f.r.address(), 0)
+	defer flow.forget()
+	if err := flow.connect(); err != nil {
+		f.unopened.Add(1)
+		f.e.rec.printf("request %s of %v: flow not opened: %v", id, flow.from, err)
+		time.Sleep(100 * time.Millisecond)
+		return
+	}
+	got, err := flow.request(requestText("GET", id, work()), feedBudget)
+	f.e.rec.printf("request %s of %v: status %d by %s, %v", id, flow.from, got.status, got.endpoint, err)
+	switch {
+	case err == nil:
+		if got.status == 200 {
+			f.served.Add(1)
+		} else {
+			f.rejected.Add(1)
+		}
+		flow.close()
+	case err == errSystemReset && f.e.holds(flow):
+		f.reset.Add(1)
+		f.e.rec.printf("FLOW broken: the system has reset the open flow %v, whose endpoint lives", flow.from)
+	default:
+		f.failed.Add(1)
+	}
+}
+
+// holds reports whether an endpoint has the end of the handshake of a flow.
+func (e *environment) holds(f *flow) bool {
+	for _, s := range e.endpoints {
+		s.mu.Lock()
+		_, ok := s.opened[f.from]
+		s.mu.Unlock()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// fill opens flows until the endpoints hold as many as they can, and then closes
+// spareConnections of each. It returns the flows that stay open.
+func (f *fullRun) fill() []*flow {
+	var mu sync.Mutex
+	byEndpoint := make(map[string][]*flow)
+	var wg sync.WaitGroup
+	for o := range openers {
+		wg.Go(func() {
+			for misses := 0; misses < 2; {
+				flow := f.q.newFlow(f.r.address(), 0)
+				if flow.connect() != nil {
+					flow.forget()
+					misses++
+					continue
+				}
+				got, err := flow.request(requestText("GET", fmt.Sprintf("open-%d-%d", o, flow.from.Port()), time.Millisecond), feedBudget)
+				if err != nil {
+					continue
+				}
+				mu.Lock()
+				byEndpoint[got.endpoint] = append(byEndpoint[got.endpoint], flow)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	var idle []*flow
+	for _, flows := range byEndpoint {
+		for _, flow := range flows[:min(spareConnections, len(flows))] {
+			flow.close()
+		}
+		idle = append(idle, flows[min(spareConnections, len(flows)):]...)
+	}
+	return idle
+}
