--- a/review/stand/full.go
+++ b/review/stand/full.go
@@ -15,16 +15,24 @@
 	// requests that it runs at the same time.
 	maxConnections, fullSlots = 2000, 2
 	// spareConnections is the number of flows for which each endpoint still has room.
-	spareConnections = 10
+	spareConnections = 8
 	// fullIdleTimeout is the idle timeout of the configuration. All idle flows are younger.
 	fullIdleTimeout = 60 * time.Second
 	// feedBudget is the time budget of a request.
-	feedBudget = 2 * time.Second
+	feedBudget = 4 * time.Second
+	// feedWork and orderWork are the mean times in milliseconds that requests take.
+	feedWork, orderWork = 55, 72
+	// feedUsers is the number of users who make requests on flows that stay open.
+	feedUsers = 12
 	// calmUsers is the number of users who make requests all the time, and burstUsers that of
-	// all users while many come at once.
-	calmUsers, burstUsers = 12, 30
-	// calmLength and burstLength are the duration of either.
-	calmLength, burstLength = 5 * time.Second, 20 * time.Second
+	// the further users while many come at once: 1.9 times as many come then.
+	calmUsers, burstUsers = 20, 18
+	// calmLength is the time before each burst, and burstLength the duration of a burst.
+	calmLength, burstLength = 5 * time.Second, 3300 * time.Millisecond
+	// bursts is the number of bursts.
+	bursts = 5
+	// meanPause is the mean pause of a user between two requests.
+	meanPause = 300 * time.Millisecond
 	// openers is the number of flows that are opened at the same time.
 	openers = 20
 )
@@ -33,10 +41,11 @@
 type fullRun struct {
 	e *environment
 	q *requester
-	r route
-	// served and reset count the requests that were served, and the open flows that the system
+	// feed is the safe route, on which flows stay open, and order the unsafe one.
+	feed, order route
+	// started numbers requests; served and reset count those that were served, and the open flows that the system
 	// has reset.
-	served, rejected, unopened, reset, failed atomic.Int64
+	started, served, rejected, unopened, reset, failed atomic.Int64
 }
 
 // runFull opens nearly as many flows as the endpoints hold and leaves them idle. A few users
@@ -45,7 +54,9 @@
 // full.
 func runFull(ctx context.Context, e *environment, trouble bool) (int, error) {
 	c := newConfiguration(int(fullIdleTimeout.Milliseconds()), maxConnections, "feed")
-	c.Routes = append(c.Routes, newRoute(1, "safe", "feed"))
+	c.Routes = append(c.Routes, newRoute(1, "safe", "feed"), newRoute(2, "unsafe", "feed"))
+	c.Routes[0].Target, c.Routes[0].Timeout = 500, 4000
+	c.Routes[1].Priority, c.Routes[1].Target, c.Routes[1].Timeout = 1, 600, 4000
 	e.put(c)
 	zones := []string{"a", "b", "c"}
 	for i := range byte(6) {
@@ -66,22 +77,33 @@
 		return 0, err
 	}
 	time.Sleep(4 * time.Second)
-	f := &fullRun{e: e, q: q, r: c.Routes[0]}
+	f := &fullRun{e: e, q: q, feed: c.Routes[0], order: c.Routes[1]}
 	idle := f.fill()
 	for _, s := range e.endpoints {
 		s.mu.Lock()
 		e.rec.printf("endpoint %s holds %d flows", s.name, s.openFlows())
 		s.mu.Unlock()
 	}
-	f.users(calmUsers, calmLength)
-	users := burstUsers
-	if !trouble {
-		users = calmUsers
+	stop := make(chan struct{})
+	var watchers sync.WaitGroup
+	for i := range feedUsers {
+		watchers.Go(func() { f.watch(i, idle[i*len(idle)/feedUsers], stop) })
 	}
-	f.users(users, burstLength)
+	watchers.Go(func() { f.users(calmUsers, bursts*(calmLength+burstLength)) })
+	for range bursts {
+		time.Sleep(calmLength)
+		if trouble {
+			f.users(burstUsers, burstLength)
+		} else {
+			time.Sleep(burstLength)
+		}
+	}
+	close(stop)
+	watchers.Wait()
 	for _, i := range idle {
 		if i.resetBy() == errSystemReset {
 			f.reset.Add(1)
+			e.rec.printf("FLOW broken: the system has reset the open flow %v, whose endpoint lives", i.from)
 		}
 	}
 	e.rec.summary("%d requests served, %d rejected, %d flows not opened, %d requests failed; %d open flows reset by the system though their endpoints live",
@@ -89,10 +111,11 @@
 	return int(f.reset.Load()), nil
 }
 
-// work returns how long a request takes: 39 ms in the middle and at most 230 ms.
-func work() time.Duration {
-	const median, spread, most = 39, 0.5, 230
-	return time.Duration(min(median*math.Exp(spread*rand.NormFloat64()), most) * float64(time.Millisecond))
+// work returns how long a request takes, with a mean in milliseconds and at most six times as
+// much.
+func work(mean float64) time.Duration {
+	const spread, most = 0.5, 6
+	return time.Duration(mean * min(math.Exp(spread*rand.NormFloat64()-spread*spread/2), most) * float64(time.Millisecond))
 }
 
 // users lets a number of users make requests one after the other for some time.
@@ -104,16 +127,35 @@
 		wg.Go(func() {
 			time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
 			for i := 0; time.Now().Before(end); i++ {
-				f.request(fmt.Sprintf("user-%d-%d-%d", count, u, i))
+				f.request(fmt.Sprintf("user-%d-%d-%d-%d", count, u, i, f.started.Add(1)))
+				time.Sleep(time.Duration(rand.ExpFloat64() * float64(meanPause)))
 			}
 		})
 	}
 	wg.Wait()
 }
 
+// watch makes requests on an open flow, with pauses between them, until stop is closed.
+func (f *fullRun) watch(user int, flow *flow, stop <-chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(rand.ExpFloat64() * float64(meanPause))):
+		}
+		id := fmt.Sprintf("feed-%d-%d", user, i)
+		got, err := flow.request(requestText("GET", id, work(feedWork)), feedBudget)
+		f.e.rec.printf("request %s of %v: status %d by %s, %v", id, flow.from, got.status, got.endpoint, err)
+		if err != nil {
+			return
+		}
+		f.served.Add(1)
+	}
+}
+
 // request makes a request on a flow of its own.
 func (f *fullRun) request(id string) {
-	flow := f.q.newFlow(f.r.address(), 0)
+	flow := f.q.newFlow(f.order.address(), 0)
 	defer flow.forget()
 	if err := flow.connect(); err != nil {
 		f.unopened.Add(1)
@@ -121,7 +163,7 @@
 		time.Sleep(100 * time.Millisecond)
 		return
 	}
-	got, err := flow.request(requestText("GET", id, work()), feedBudget)
+	got, err := flow.request(requestText("POST", id, work(orderWork)), feedBudget)
 	f.e.rec.printf("request %s of %v: status %d by %s, %v", id, flow.from, got.status, got.endpoint, err)
 	switch {
 	case err == nil:
@@ -161,7 +203,7 @@
 	for o := range openers {
 		wg.Go(func() {
 			for misses := 0; misses < 2; {
-				flow := f.q.newFlow(f.r.address(), 0)
+				flow := f.q.newFlow(f.feed.address(), 0)
 				if flow.connect() != nil {
 					flow.forget()
 					misses++
