--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]caseFunc{
 	"full":  runFull,
+	"port":  runPort,
 	"storm": runStorm,
 }
 
