--- a/review/stand/full.go
+++ b/review/stand/full.go
@@ -22,17 +22,18 @@
 	feedBudget = 4 * time.Second
 	// feedWork and orderWork are the mean times in milliseconds that requests take.
 	feedWork, orderWork = 55, 72
-	// feedUsers is the number of users who make requests on flows that stay open.
-	feedUsers = 12
-	// calmUsers is the number of users who make requests all the time, and burstUsers that of
-	// the further users while many come at once: 1.9 times as many come then.
-	calmUsers, burstUsers = 20, 18
+	// feedUsers is the number of users who make requests on flows that stay open, and
+	// burstFeedUsers that of the further ones while many come at once.
+	feedUsers, burstFeedUsers = 8, 5
+	// calmUsers is the number of users who make requests on flows of their own all the time, and
+	// burstUsers that of the further ones while many come at once.
+	calmUsers, burstUsers = 30, 66
 	// calmLength is the time before each burst, and burstLength the duration of a burst.
-	calmLength, burstLength = 5 * time.Second, 3300 * time.Millisecond
+	calmLength, burstLength = 6 * time.Second, 3 * time.Second
 	// bursts is the number of bursts.
 	bursts = 5
-	// meanPause is the mean pause of a user between two requests.
-	meanPause = 300 * time.Millisecond
+	// meanPause and meanFeedPause are the mean pauses of a user between two requests.
+	meanPause, meanFeedPause = time.Second, 300 * time.Millisecond
 	// openers is the number of flows that are opened at the same time.
 	openers = 20
 )
@@ -81,22 +82,31 @@
 	idle := f.fill()
 	for _, s := range e.endpoints {
 		s.mu.Lock()
-		e.rec.printf("endpoint %s holds %d flows", s.name, s.openFlows())
+		held := s.openFlows()
 		s.mu.Unlock()
+		e.rec.printf("endpoint %s holds %d flows", s.name, held)
+		if held < maxConnections-2*spareConnections {
+			return 0, fmt.Errorf("endpoint %s holds only %d flows", s.name, held)
+		}
 	}
 	stop := make(chan struct{})
 	var watchers sync.WaitGroup
 	for i := range feedUsers {
-		watchers.Go(func() { f.watch(i, idle[i*len(idle)/feedUsers], stop) })
+		watchers.Go(func() { f.watch(i, idle[i*len(idle)/(feedUsers+burstFeedUsers)], stop) })
 	}
 	watchers.Go(func() { f.users(calmUsers, bursts*(calmLength+burstLength)) })
 	for range bursts {
 		time.Sleep(calmLength)
-		if trouble {
-			f.users(burstUsers, burstLength)
-		} else {
+		if !trouble {
 			time.Sleep(burstLength)
+			continue
+		}
+		over := make(chan struct{})
+		for i := range burstFeedUsers {
+			watchers.Go(func() { f.watch(feedUsers+i, idle[(feedUsers+i)*len(idle)/(feedUsers+burstFeedUsers)], over) })
 		}
+		f.users(burstUsers, burstLength)
+		close(over)
 	}
 	close(stop)
 	watchers.Wait()
@@ -118,6 +128,11 @@
 	return time.Duration(mean * min(math.Exp(spread*rand.NormFloat64()-spread*spread/2), most) * float64(time.Millisecond))
 }
 
+// pause returns an exponentially distributed time.
+func pause(mean time.Duration) time.Duration {
+	return time.Duration(rand.ExpFloat64() * float64(mean))
+}
+
 // users lets a number of users make requests one after the other for some time.
 func (f *fullRun) users(count int, length time.Duration) {
 	f.e.rec.printf("%d users", count)
@@ -125,10 +140,10 @@
 	var wg sync.WaitGroup
 	for u := range count {
 		wg.Go(func() {
-			time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
+			time.Sleep(pause(meanPause))
 			for i := 0; time.Now().Before(end); i++ {
 				f.request(fmt.Sprintf("user-%d-%d-%d-%d", count, u, i, f.started.Add(1)))
-				time.Sleep(time.Duration(rand.ExpFloat64() * float64(meanPause)))
+				time.Sleep(pause(meanPause))
 			}
 		})
 	}
@@ -141,7 +156,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(rand.ExpFloat64() * float64(meanPause))):
+		case <-time.After(pause(meanFeedPause)):
 		}
 		id := fmt.Sprintf("feed-%d-%d", user, i)
 		got, err := flow.request(requestText("GET", id, work(feedWork)), feedBudget)
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,9 +26,10 @@
 type caseFunc func(ctx context.Context, e *environment, trouble bool) (broken int, err error)
 
 var cases = map[string]caseFunc{
-	"full":  runFull,
-	"port":  runPort,
-	"storm": runStorm,
+	"freeze": runFreeze,
+	"full":   runFull,
+	"port":   runPort,
+	"storm":  runStorm,
 }
 
 func main() {
@@ -50,14 +51,14 @@
 	defer cancel()
 	e, err := newEnvironment(ctx, rec)
 	if err != nil {
-		rec.printf("not run: %v", err)
+		rec.summary("not run: %v", err)
 		return exitNotRun
 	}
 	defer e.close()
 	broken, err := f(ctx, e, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
-		rec.printf("not run: %v", err)
+		rec.summary("not run: %v", err)
 		return exitNotRun
 	case broken > 0:
 		rec.printf("result: the rule was broken %d times", broken)
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -24,8 +24,7 @@
 	return &recorder{file: file, out: bufio.NewWriter(file), started: time.Now()}, nil
 }
 
-// printf writes one line. Lines that begin with "result" or "not run" also go to standard
-// output.
+// printf writes one line.
 func (r *recorder) printf(format string, args ...any) {
 	line := fmt.Sprintf("%9.3f %s", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 	r.mu.Lock()
