--- a/review/stand/full.go
+++ b/review/stand/full.go
@@ -29,9 +29,9 @@
 	// burstUsers that of the further ones while many come at once.
 	calmUsers, burstUsers = 30, 66
 	// calmLength is the time before each burst, and burstLength the duration of a burst.
-	calmLength, burstLength = 6 * time.Second, 3 * time.Second
+	calmLength, burstLength = 4500 * time.Millisecond, 3 * time.Second
 	// bursts is the number of bursts.
-	bursts = 5
+	bursts = 6
 	// meanPause and meanFeedPause are the mean pauses of a user between two requests.
 	meanPause, meanFeedPause = time.Second, 300 * time.Millisecond
 	// openers is the number of flows that are opened at the same time.
@@ -111,7 +111,7 @@
 	close(stop)
 	watchers.Wait()
 	for _, i := range idle {
-		if i.resetBy() == errSystemReset {
+		if i.resetBySystem() {
 			f.reset.Add(1)
 			e.rec.printf("FLOW broken: the system has reset the open flow %v, whose endpoint lives", i.from)
 		}
@@ -188,7 +188,7 @@
 			f.rejected.Add(1)
 		}
 		flow.close()
-	case err == errSystemReset && f.e.holds(flow):
+	case flow.resetBySystem() && f.e.holds(flow):
 		f.reset.Add(1)
 		f.e.rec.printf("FLOW broken: the system has reset the open flow %v, whose endpoint lives", flow.from)
 	default:
--- a/review/stand/requester.go
+++ b/review/stand/requester.go
@@ -25,6 +25,8 @@
 	// up to maxRetransmit.
 	minRetransmit = 200 * time.Millisecond
 	maxRetransmit = 1600 * time.Millisecond
+	// flowLifetime is the age above which resets of a flow are not counted.
+	flowLifetime = 60 * time.Second
 )
 
 var synCopies = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
@@ -83,6 +85,8 @@
 	// reset is the kind of reset that ended the flow.
 	reset error
 	ended chan struct{}
+	// openedAt and resetAt are when the flow was opened and reset.
+	openedAt, resetAt time.Time
 	echo  uint32
 	// via is the VM that the last packet was sent to.
 	via  string
@@ -139,7 +143,7 @@
 	if f.reset != nil {
 		return
 	}
-	f.reset = err
+	f.reset, f.resetAt = err, time.Now()
 	f.q.rec.printf("flow %v to %v (last through %s): %v", f.from, f.to, f.via, err)
 	close(f.ended)
 }
@@ -151,6 +155,14 @@
 	return f.reset
 }
 
+// resetBySystem reports whether the system has reset the flow while it was open and younger than
+// flowLifetime.
+func (f *flow) resetBySystem() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reset == errSystemReset && f.open && f.resetAt.Sub(f.openedAt) < flowLifetime
+}
+
 // send sends a packet of the flow through the VM that the router picks.
 func (f *flow) send(flags byte, seq, ack uint32, data []byte) {
 	p := &packet{flags: flags, src: f.from, dst: f.to, seq: seq, ack: ack, data: data}
@@ -179,6 +191,7 @@
 			}
 			f.mu.Lock()
 			f.seq, f.ack, f.open = f.seq+1, p.seq+1, true
+			f.openedAt = time.Now()
 			f.mu.Unlock()
 			f.send(flagACK, f.seq, f.ack, nil)
 			return nil
