--- a/review/stand/requester.go
+++ b/review/stand/requester.go
@@ -87,7 +87,7 @@
 	ended chan struct{}
 	// openedAt and resetAt are when the flow was opened and reset.
 	openedAt, resetAt time.Time
-	echo  uint32
+	echo              uint32
 	// via is the VM that the last packet was sent to.
 	via  string
 	open bool
