--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -17,7 +17,8 @@
 	"cold-restart": coldRestart,
 }
 
-var feed = netip.MustParseAddrPort("198.18.0.1:8443")
+// feed is the address of the route, which appears in packets only.
+var feed = netip.MustParseAddrPort("127.18.0.1:8443")
 
 // flood starts users on the hosts and returns a function that ends them.
 func (b *bed) flood(ctx context.Context, hosts []*host, users int, a habit) (stop func()) {
